--- /dev/null
+++ b/libs/core/tests/core_test.cpp
@@ -0,0 +1,43 @@
+#include "gentianlug/core/address.h"
+#include "gentianlug/core/bounded_queue.h"
+#include "gentianlug/core/core_errc.h"
+#include "gentianlug/core/hash.h"
+#include "gentianlug/core/random.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+
+TEST_GROUP(address){};
+
+// Guards against a port out of range that wraps around to another port.
+TEST(address, RefusesWhatIsNotHostAndPort) {
+  for (const char *Text : {"", "127.0.0.1", ":80", "h:0", "h:65536", "h:8x"})
+    CHECK_FALSE(bool(parseAddress(Text)));
+  auto Good = parseAddress("127.0.0.1:8080");
+  CHECK(bool(Good));
+  CHECK_EQUAL(8080, Good->Port);
+}
+
+TEST_GROUP(bounded_queue){};
+
+// Guards against a queue that grows without a bound.
+TEST(bounded_queue, RefusesItemsBeyondItsBound) {
+  bounded_queue<int> Queue(2);
+  CHECK(Queue.push(1));
+  CHECK(Queue.push(2));
+  CHECK_FALSE(Queue.push(3));
+  CHECK_EQUAL(1, Queue.pop());
+}
+
+TEST_GROUP(hash){};
+
+// Guards against a hash whose text loses leading zeros.
+TEST(hash, HasFixedLength) {
+  generator Gen(1);
+  for (int Round = 0; Round < 64; ++Round) {
+    std::string Id = drawHexId(Gen);
+    CHECK_EQUAL(16U, Id.size());
+    CHECK_EQUAL(32U, contentHash(Id).size());
+  }
+}
--- /dev/null
+++ b/libs/membership/src/membership.cpp
@@ -0,0 +1,1 @@
+#include "gentianlug/membership/member_record.h"
--- /dev/null
+++ b/libs/net/src/detail/evhttp_convert.cpp
@@ -0,0 +1,35 @@
+#include "detail/evhttp_convert.h"
+
+namespace gentianlug::net::detail {
+
+namespace {
+
+struct method_row {
+  evhttp_cmd_type Method;
+  const char *Name;
+};
+
+} // namespace
+
+static constexpr method_row Methods[] = {
+    {EVHTTP_REQ_GET, "GET"},       {EVHTTP_REQ_POST, "POST"},
+    {EVHTTP_REQ_HEAD, "HEAD"},     {EVHTTP_REQ_PUT, "PUT"},
+    {EVHTTP_REQ_DELETE, "DELETE"}, {EVHTTP_REQ_OPTIONS, "OPTIONS"},
+    {EVHTTP_REQ_PATCH, "PATCH"},
+};
+
+const char *methodName(evhttp_cmd_type Method) {
+  for (const method_row &Row : Methods)
+    if (Row.Method == Method)
+      return Row.Name;
+  return "UNKNOWN";
+}
+
+std::optional<evhttp_cmd_type> methodByName(const std::string &Name) {
+  for (const method_row &Row : Methods)
+    if (Name == Row.Name)
+      return Row.Method;
+  return std::nullopt;
+}
+
+} // namespace gentianlug::net::detail
--- /dev/null
+++ b/libs/net/src/detail/evhttp_convert.h
@@ -0,0 +1,38 @@
+#ifndef GENTIANLUG_NET_DETAIL_EVHTTP_CONVERT_H
+#define GENTIANLUG_NET_DETAIL_EVHTTP_CONVERT_H
+
+#include "gentianlug/net/http_message.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <optional>
+#include <string>
+
+namespace gentianlug::net::detail {
+
+inline std::string takeBody(evbuffer *Buffer) {
+  std::string Body(evbuffer_get_length(Buffer), '\0');
+  evbuffer_remove(Buffer, Body.data(), Body.size());
+  return Body;
+}
+
+inline http_headers readHeaders(const evkeyvalq *List) {
+  http_headers Headers;
+  for (const evkeyval *Field = List->tqh_first; Field;
+       Field = Field->next.tqe_next)
+    Headers.add(Field->key, Field->value);
+  return Headers;
+}
+
+inline void writeHeaders(evkeyvalq *List, const http_headers &Headers) {
+  for (const auto &[Name, Value] : Headers.fields())
+    evhttp_add_header(List, Name.c_str(), Value.c_str());
+}
+
+const char *methodName(evhttp_cmd_type Method);
+std::optional<evhttp_cmd_type> methodByName(const std::string &Name);
+
+} // namespace gentianlug::net::detail
+
+#endif // GENTIANLUG_NET_DETAIL_EVHTTP_CONVERT_H
--- /dev/null
+++ b/libs/net/tests/http_test.cpp
@@ -0,0 +1,105 @@
+#include "gentianlug/net/event_loop.h"
+#include "gentianlug/net/http_client.h"
+#include "gentianlug/net/http_server.h"
+#include "gentianlug/net/mailbox.h"
+#include "gentianlug/net/net_errc.h"
+
+#include <CppUTest/TestHarness.h>
+#include <optional>
+#include <thread>
+
+using namespace gentianlug;
+using namespace gentianlug::net;
+using namespace std::chrono_literals;
+
+static const address Listen{"127.0.0.1", 28431};
+
+TEST_GROUP(http) {
+  event_loop Loop;
+  std::optional<result<http_response>> Answer;
+
+  void exchange(http_client & Client, const address &Peer,
+                const http_request &Request,
+                std::chrono::milliseconds Timeout) {
+    Client.send(Peer, Request, Timeout, [&](result<http_response> Result) {
+      Answer = std::move(Result);
+      Loop.stop();
+    });
+    Loop.run();
+  }
+};
+
+TEST(http, DeliversBodyAndHeadersBothWays) {
+  http_server Server(Loop, {}, [](http_exchange Exchange) {
+    http_response Response;
+    Response.Headers.add("gl-call-id", *Exchange.request().Headers.find("id"));
+    Response.Body = Exchange.request().Body + "!";
+    Exchange.reply(Response);
+  });
+  CHECK(bool(Server.listen(Listen)));
+  http_client Client(Loop);
+  http_request Request;
+  Request.Method = "POST";
+  Request.Headers.add("id", "7");
+  Request.Body = "order";
+  exchange(Client, Listen, Request, 5s);
+  CHECK(bool(*Answer));
+  STRCMP_EQUAL("order!", (*Answer)->Body.c_str());
+  STRCMP_EQUAL("7", (*Answer)->Headers.find("GL-Call-Id")->c_str());
+}
+
+// Guards against "not run" for a request that a peer may have received: only
+// a failed connect proves that no byte was sent.
+TEST(http, TellsAFailedConnectFromALostAnswer) {
+  http_client Client(Loop);
+  exchange(Client, {"127.0.0.1", 1}, {}, 5s);
+  CHECK(Answer->failure().Code == make_error_code(net_errc::ConnectFailed));
+  http_server Server(Loop, {},
+                     [](http_exchange Exchange) { Exchange.abort(); });
+  CHECK(bool(Server.listen(Listen)));
+  exchange(Client, Listen, {}, 5s);
+  CHECK(Answer->failure().Code == make_error_code(net_errc::ConnectionLost));
+}
+
+// Guards against a request that waits for ever on a silent peer.
+TEST(http, TimesOutWhenThePeerIsSilent) {
+  std::optional<http_exchange> Held;
+  http_server Server(
+      Loop, {}, [&](http_exchange Exchange) { Held = std::move(Exchange); });
+  CHECK(bool(Server.listen(Listen)));
+  http_client Client(Loop);
+  exchange(Client, Listen, {}, 20ms);
+  CHECK(Answer->failure().Code == make_error_code(net_errc::Timeout));
+}
+
+TEST(http, ListenReportsAPortInUse) {
+  http_server First(Loop, {}, [](http_exchange) {});
+  http_server Second(Loop, {}, [](http_exchange) {});
+  CHECK(bool(First.listen(Listen)));
+  CHECK_FALSE(bool(Second.listen(Listen)));
+}
+
+TEST_GROUP(mailbox){};
+
+// Guards against a message that is lost between two threads, and against a
+// queue without a bound.
+TEST(mailbox, DeliversInOrderAcrossThreadsAndRefusesBeyondItsBound) {
+  event_loop Loop;
+  std::vector<int> Received;
+  mailbox<int> Mailbox(
+      Loop,
+      [&](int Item) {
+        Received.push_back(Item);
+        if (Received.size() == 3)
+          Loop.stop();
+      },
+      3);
+  std::thread Sender([&] {
+    for (int Item : {1, 2, 3})
+      CHECK(Mailbox.post(Item));
+    CHECK_FALSE(Mailbox.post(4));
+  });
+  Sender.join();
+  Loop.run();
+  CHECK(Received == (std::vector<int>{1, 2, 3}));
+}
--- /dev/null
+++ b/libs/platform/include/gentianlug/platform/config_head.h
@@ -0,0 +1,36 @@
+#ifndef GENTIANLUG_PLATFORM_CONFIG_HEAD_H
+#define GENTIANLUG_PLATFORM_CONFIG_HEAD_H
+
+#include "gentianlug/config/parts.h"
+#include "gentianlug/core/clock.h"
+#include "gentianlug/core/ids.h"
+
+#include <map>
+#include <string>
+
+namespace gentianlug::platform {
+
+/// Value of `live/config`: the newest accepted version.
+struct config_head {
+  config_version Version = 0;
+  std::string ManifestHash;
+  std::string Author;
+  std::string Reason;
+  wall_time AcceptedAt;
+  std::string WriteId;
+};
+
+/// Parts of one site within a version.
+struct site_manifest {
+  std::string RootHash;
+  config::part_hashes Parts;
+};
+
+/// Value of the object that a head names: the parts of every site.
+struct config_manifest {
+  std::map<site_name, site_manifest> Sites;
+};
+
+} // namespace gentianlug::platform
+
+#endif // GENTIANLUG_PLATFORM_CONFIG_HEAD_H
--- /dev/null
+++ b/libs/platform/include/gentianlug/platform/object_store.h
@@ -0,0 +1,87 @@
+#ifndef GENTIANLUG_PLATFORM_OBJECT_STORE_H
+#define GENTIANLUG_PLATFORM_OBJECT_STORE_H
+
+#include "gentianlug/core/ids.h"
+#include "gentianlug/core/result.h"
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gentianlug::platform {
+
+/// Largest value of one object, in bytes.
+inline constexpr std::size_t MaxValueBytes = 1 << 20;
+
+/// One object of the store.
+struct object {
+  std::string Key;
+  std::string Value;
+  object_revision Revision = 0;
+};
+
+/// One change that a watch reports; a deleted object has no value.
+struct object_change {
+  std::string Key;
+  std::optional<std::string> Value;
+  object_revision Revision = 0;
+};
+
+/// Changes of a prefix, in the order of their revisions.
+struct change_batch {
+  std::vector<object_change> Changes;
+  /// Revision to continue the watch from.
+  object_revision Revision = 0;
+};
+
+/// Objects of a prefix with the revision of the whole store at that moment.
+struct object_list {
+  std::vector<object> Objects;
+  object_revision Revision = 0;
+};
+
+/// Access to the platform's versioned objects.
+///
+/// Operations finish asynchronously on the owner's event loop; a callback runs
+/// exactly once. `platform_errc::NoAnswer` after a write leaves its outcome
+/// open: read the object and compare its write id.
+class object_store {
+public:
+  template <class T> using callback = std::function<void(result<T>)>;
+
+  virtual ~object_store() = default;
+
+  /// Reads one object. Errors: `NotFound`, `NoAnswer`, `RateLimited`.
+  virtual void get(const std::string &Key, callback<object> Done) = 0;
+
+  /// Writes one object.
+  ///
+  /// \param Expected the revision that the object must have; 0 creates it,
+  /// nothing writes unconditionally.
+  /// \returns the new revision. Errors: `Conflict`, `TooLarge`, `NoAnswer`,
+  /// `RateLimited`.
+  virtual void put(const std::string &Key, const std::string &Value,
+                   std::optional<object_revision> Expected,
+                   callback<object_revision> Done) = 0;
+
+  /// Deletes one object if it has the revision \p Expected.
+  virtual void remove(const std::string &Key, object_revision Expected,
+                      callback<object_revision> Done) = 0;
+
+  /// Lists the objects whose keys start with \p Prefix.
+  virtual void list(const std::string &Prefix, callback<object_list> Done) = 0;
+
+  /// Waits for changes below \p Prefix after the revision \p After.
+  ///
+  /// \param Wait the answer comes after this time at the latest, then empty.
+  /// Errors: `TooOld`, `NoAnswer`, `RateLimited`.
+  virtual void watch(const std::string &Prefix, object_revision After,
+                     std::chrono::milliseconds Wait,
+                     callback<change_batch> Done) = 0;
+};
+
+} // namespace gentianlug::platform
+
+#endif // GENTIANLUG_PLATFORM_OBJECT_STORE_H
--- /dev/null
+++ b/libs/platform/include/gentianlug/platform/zone_status.h
@@ -0,0 +1,36 @@
+#ifndef GENTIANLUG_PLATFORM_ZONE_STATUS_H
+#define GENTIANLUG_PLATFORM_ZONE_STATUS_H
+
+#include "gentianlug/core/clock.h"
+#include "gentianlug/core/ids.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace gentianlug::platform {
+
+/// Refusals that one zone status lists; further ones are counted only.
+inline constexpr std::size_t MaxListedRefusals = 10;
+
+/// A version that a node refused as a whole.
+struct config_refusal {
+  node_id Node;
+  config_version Version = 0;
+  std::string Reason;
+
+  bool operator==(const config_refusal &) const = default;
+};
+
+/// Value of `status/ZONE`: what is in force on the nodes of one zone.
+struct zone_status {
+  zone_name Zone;
+  site_name Site;
+  std::map<config_version, std::uint32_t> NodesByVersion;
+  std::vector<config_refusal> Refusals;
+  wall_time UpdatedAt;
+};
+
+} // namespace gentianlug::platform
+
+#endif // GENTIANLUG_PLATFORM_ZONE_STATUS_H
--- /dev/null
+++ b/libs/settings/src/node_settings.cpp
@@ -0,0 +1,54 @@
+#include "gentianlug/settings/node_settings.h"
+
+#include "gentianlug/settings/json_file.h"
+#include "gentianlug/settings/object_reader.h"
+
+namespace gentianlug::settings {
+
+static std::vector<address> readSeedPeers(object_reader &Reader) {
+  std::vector<address> Peers;
+  const nlohmann::json *Array = Reader.array("seed_peers");
+  if (!Array)
+    return Peers;
+  if (Array->size() > MaxSeedPeers)
+    Reader.faults().add(Reader.pathOf("seed_peers"),
+                        "must have at most " + std::to_string(MaxSeedPeers) +
+                            " entries");
+  for (const nlohmann::json &Entry : *Array) {
+    auto Parsed = parseAddress(Entry.is_string() ? Entry.get<std::string>()
+                                                 : std::string());
+    if (Parsed)
+      Peers.push_back(*Parsed);
+    else
+      Reader.faults().add(Reader.pathOf("seed_peers"),
+                          "must hold addresses of the form HOST:PORT");
+  }
+  return Peers;
+}
+
+result<node_settings> parseNodeSettings(std::string_view Text,
+                                        const std::string &File) {
+  auto Json = parseJson(Text, File);
+  if (!Json)
+    return Json.failure();
+  fault_list Faults(File);
+  object_reader Reader(*Json, "", Faults);
+  node_settings Settings;
+  Settings.Node = node_id(Reader.text("node"));
+  Settings.Site = site_name(Reader.text("site"));
+  Settings.Region = region_name(Reader.text("region"));
+  Settings.Zone = zone_name(Reader.text("availability_zone"));
+  Settings.CallerListen = Reader.endpoint("caller_listen");
+  Settings.PeerListen = Reader.endpoint("peer_listen");
+  Settings.ControlListen = Reader.endpoint("control_listen");
+  Settings.AdminListen = Reader.endpoint("admin_listen");
+  Settings.Platform = Reader.endpoint("platform");
+  Settings.SeedPeers = readSeedPeers(Reader);
+  Settings.Seed = std::uint64_t(Reader.number("seed", 0, INT64_MAX, 0));
+  Reader.finish();
+  if (!Faults.empty())
+    return Faults.toError();
+  return Settings;
+}
+
+} // namespace gentianlug::settings
--- /dev/null
+++ b/libs/wire/src/platform_messages.cpp
@@ -0,0 +1,120 @@
+#include "gentianlug/wire/platform_messages.h"
+
+#include "detail/decoder.h"
+
+namespace gentianlug::wire {
+
+using nlohmann::json;
+using settings::object_reader;
+
+/// Reads a string that may be empty.
+static std::string readValue(object_reader &Reader, const std::string &Key) {
+  return Reader.text(Key, "");
+}
+
+static put_request readPut(object_reader &Reader) {
+  put_request Request;
+  Request.Value = readValue(Reader, "value");
+  std::int64_t Expected = Reader.number("expected", -1, INT64_MAX, -1);
+  if (Expected >= 0)
+    Request.Expected = object_revision(Expected);
+  return Request;
+}
+
+result<put_request> decodePutRequest(std::string_view Text) {
+  return detail::decodeObject(Text, "write", readPut);
+}
+
+std::string encode(const put_request &Request) {
+  json Json{{"value", Request.Value}};
+  if (Request.Expected)
+    Json["expected"] = *Request.Expected;
+  return Json.dump();
+}
+
+static platform::object readObject(object_reader &Reader) {
+  platform::object Object;
+  Object.Key = Reader.text("key");
+  Object.Value = readValue(Reader, "value");
+  Object.Revision = detail::readUnsigned(Reader, "revision");
+  return Object;
+}
+
+result<platform::object> decodeObject(std::string_view Text) {
+  return detail::decodeObject(Text, "object", readObject);
+}
+
+static json toJson(const platform::object &Object) {
+  return {{"key", Object.Key},
+          {"value", Object.Value},
+          {"revision", Object.Revision}};
+}
+
+std::string encode(const platform::object &Object) {
+  return toJson(Object).dump();
+}
+
+static object_revision readRevision(object_reader &Reader) {
+  return detail::readUnsigned(Reader, "revision");
+}
+
+result<object_revision> decodeRevision(std::string_view Text) {
+  return detail::decodeObject(Text, "revision", readRevision);
+}
+
+std::string encodeRevision(object_revision Revision) {
+  return json{{"revision", Revision}}.dump();
+}
+
+static platform::object_list readObjectList(object_reader &Reader) {
+  platform::object_list List;
+  List.Objects = detail::readList(Reader, "objects", readObject);
+  List.Revision = detail::readUnsigned(Reader, "revision");
+  return List;
+}
+
+result<platform::object_list> decodeObjectList(std::string_view Text) {
+  return detail::decodeObject(Text, "list", readObjectList);
+}
+
+std::string encode(const platform::object_list &List) {
+  json Objects = json::array();
+  for (const platform::object &Object : List.Objects)
+    Objects.push_back(toJson(Object));
+  return json{{"objects", Objects}, {"revision", List.Revision}}.dump();
+}
+
+static platform::object_change readChange(object_reader &Reader) {
+  platform::object_change Change;
+  Change.Key = Reader.text("key");
+  Change.Revision = detail::readUnsigned(Reader, "revision");
+  if (!Reader.flag("deleted", false))
+    Change.Value = readValue(Reader, "value");
+  return Change;
+}
+
+static platform::change_batch readBatch(object_reader &Reader) {
+  platform::change_batch Batch;
+  Batch.Changes = detail::readList(Reader, "changes", readChange);
+  Batch.Revision = detail::readUnsigned(Reader, "revision");
+  return Batch;
+}
+
+result<platform::change_batch> decodeChangeBatch(std::string_view Text) {
+  return detail::decodeObject(Text, "watch", readBatch);
+}
+
+std::string encode(const platform::change_batch &Batch) {
+  json Changes = json::array();
+  for (const platform::object_change &Change : Batch.Changes) {
+    json Json{{"key", Change.Key}, {"revision", Change.Revision}};
+    if (Change.Value)
+      Json["value"] = *Change.Value;
+    else
+      Json["deleted"] = true;
+    Changes.push_back(std::move(Json));
+  }
+  return json{{"changes", Changes}, {"revision", Batch.Revision}}.dump();
+}
+
+} // namespace gentianlug::wire
--- /dev/null
+++ b/libs/wire/tests/platform_values_test.cpp
@@ -0,0 +1,43 @@
+#include "gentianlug/wire/platform_values.h"
+#include "gentianlug/wire/server_announcement.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::wire;
+
+TEST_GROUP(platform_values){};
+
+TEST(platform_values, ConfigHeadRoundTrip) {
+  platform::config_head Head{7, "abc", "marie", "new slots", wall_time{}, "w1"};
+  auto Decoded = decodeConfigHead(encode(Head));
+  CHECK(bool(Decoded));
+  CHECK_EQUAL(7U, Decoded->Version);
+  STRCMP_EQUAL("new slots", Decoded->Reason.c_str());
+}
+
+// Guards against a half-written object that is taken for a version.
+TEST(platform_values, TruncatedValuesAreRefused) {
+  platform::config_head Head{7, "abc", "marie", "new slots", wall_time{}, "w1"};
+  std::string Text = encode(Head);
+  for (std::size_t Size = 0; Size < Text.size(); ++Size)
+    CHECK_FALSE(bool(decodeConfigHead(Text.substr(0, Size))));
+}
+
+TEST_GROUP(server_announcement){};
+
+// Guards against a server that claims an impossible number of slots.
+TEST(server_announcement, RefusesFieldsOutOfRange) {
+  server_announcement Good{service_name("a"),
+                           version_name("v1"),
+                           {"127.0.0.1", 80},
+                           10,
+                           120,
+                           5,
+                           false};
+  auto Decoded = decodeServerAnnouncement(encode(Good));
+  CHECK(bool(Decoded));
+  CHECK(Good == *Decoded);
+  Good.Slots = 0;
+  CHECK_FALSE(bool(decodeServerAnnouncement(encode(Good))));
+}
