--- /dev/null
+++ b/libs/config/include/gentianlug/config/model.h
@@ -0,0 +1,137 @@
+#ifndef GENTIANLUG_CONFIG_MODEL_H
+#define GENTIANLUG_CONFIG_MODEL_H
+
+#include "gentianlug/core/clock.h"
+#include "gentianlug/core/ids.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace gentianlug::config {
+
+/// An availability zone of the site.
+struct availability_zone {
+  zone_name Name;
+  region_name Region;
+
+  bool operator==(const availability_zone &) const = default;
+};
+
+/// A customer with its fair share of a busy service.
+struct customer {
+  customer_name Name;
+  /// Weight against other customers, 1 to 1000.
+  std::uint32_t Share = 1;
+
+  bool operator==(const customer &) const = default;
+};
+
+/// What one backend server of a service bears.
+struct server_limits {
+  std::uint32_t Slots = 10;
+  std::uint32_t Connections = 100;
+  std::uint32_t QueueLength = 20;
+  std::chrono::microseconds ConnectCost{1000};
+  std::chrono::microseconds ProbeCost{1000};
+
+  bool operator==(const server_limits &) const = default;
+};
+
+/// Rules for further tries of an idempotent or not-run call.
+struct retry_rules {
+  /// Tries of one call in all, 1 to 5.
+  std::uint32_t MaxTries = 3;
+  /// Retries as a share of first tries, 0 to 0.5.
+  double Budget = 0.1;
+
+  bool operator==(const retry_rules &) const = default;
+};
+
+/// A service with the version that serves it when no rollout runs.
+struct service {
+  service_name Name;
+  version_name Version;
+  server_limits Limits;
+  retry_rules Retries;
+
+  bool operator==(const service &) const = default;
+};
+
+/// Importance of a call when capacity is short; low is shed first.
+enum class call_priority : std::uint8_t { Low, Normal, High };
+
+/// Maps calls by path prefix to a service.
+struct route {
+  route_name Name;
+  std::string PathPrefix;
+  service_name Service;
+  /// Whether a call of this route may run more than once without harm. Calls
+  /// with method GET or HEAD are idempotent on every route.
+  bool Idempotent = false;
+  std::chrono::milliseconds Deadline{2000};
+  call_priority Priority = call_priority::Normal;
+  std::uint64_t MaxBodyBytes = 1 << 20;
+
+  bool operator==(const route &) const = default;
+};
+
+/// A move of a service to a new version by a set time.
+struct rollout {
+  service_name Service;
+  version_name Version;
+  wall_time FinishBy;
+  /// Largest share of calls before the verdict, 0.001 to 0.05.
+  double MaxShareBeforeVerdict = 0.05;
+
+  /// Returns "SERVICE@VERSION@FINISH" with the time in seconds since 1970. An
+  /// edit of version or time is a new rollout.
+  std::string id() const;
+
+  bool operator==(const rollout &) const = default;
+};
+
+/// The complete configuration of one site.
+struct site_configuration {
+  site_name Site;
+  /// Round trip between two zones of a region.
+  std::chrono::microseconds ZoneRoundTrip{1000};
+  std::vector<availability_zone> Zones;
+  std::vector<customer> Customers;
+  /// Sorted by name.
+  std::vector<service> Services;
+  /// Sorted by path prefix, longest first.
+  std::vector<route> Routes;
+  /// At most one for each service.
+  std::vector<rollout> Rollouts;
+
+  bool operator==(const site_configuration &) const = default;
+};
+
+/// An accepted configuration of one site with its version.
+struct versioned_configuration {
+  config_version Version = 0;
+  /// Hash over the parts; see `rootHash`.
+  std::string RootHash;
+  site_configuration Configuration;
+};
+
+/// Returns the service \p Name, or null. Complexity: logarithmic.
+const service *findService(const site_configuration &Configuration,
+                           const service_name &Name);
+
+/// Returns the route with the longest prefix of \p Path, or null.
+///
+/// A prefix ends at a segment: "/order" matches "/order/1", not "/orders".
+/// Complexity: linear in the number of routes.
+const route *matchRoute(const site_configuration &Configuration,
+                        std::string_view Path);
+
+/// Returns the rollout of \p Service, or null.
+const rollout *findRollout(const site_configuration &Configuration,
+                           const service_name &Service);
+
+} // namespace gentianlug::config
+
+#endif // GENTIANLUG_CONFIG_MODEL_H
--- /dev/null
+++ b/libs/config/src/detail/json_model.cpp
@@ -0,0 +1,217 @@
+#include "detail/json_model.h"
+
+#include <algorithm>
+#include <ctime>
+
+namespace gentianlug::config::detail {
+
+using settings::fault_list;
+using settings::object_reader;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr const char *PriorityNames[] = {"low", "normal", "high"};
+
+static call_priority readPriority(object_reader &Reader) {
+  std::string Text = Reader.text("priority", "normal");
+  for (unsigned Index = 0; Index < std::size(PriorityNames); ++Index)
+    if (Text == PriorityNames[Index])
+      return call_priority(Index);
+  Reader.faults().add(Reader.pathOf("priority"),
+                      "must be \"low\", \"normal\" or \"high\"");
+  return call_priority::Normal;
+}
+
+/// Reads a time of the form "2026-12-04T18:00:00Z".
+static wall_time readTime(object_reader &Reader, const std::string &Key) {
+  std::string Text = Reader.text(Key);
+  std::tm Fields{};
+  const char *End = strptime(Text.c_str(), "%Y-%m-%dT%H:%M:%SZ", &Fields);
+  if (End && *End == '\0')
+    return std::chrono::system_clock::from_time_t(timegm(&Fields));
+  Reader.faults().add(Reader.pathOf(Key),
+                      "must be a UTC time of the form 2026-12-04T18:00:00Z");
+  return {};
+}
+
+static std::string writeTime(wall_time Time) {
+  std::time_t Seconds = std::chrono::system_clock::to_time_t(Time);
+  std::tm Fields{};
+  gmtime_r(&Seconds, &Fields);
+  char Text[32];
+  std::strftime(Text, sizeof Text, "%Y-%m-%dT%H:%M:%SZ", &Fields);
+  return Text;
+}
+
+static availability_zone readZone(object_reader &Reader) {
+  availability_zone Zone;
+  Zone.Name = zone_name(Reader.text("name"));
+  Zone.Region = region_name(Reader.text("region"));
+  return Zone;
+}
+
+static customer readCustomer(object_reader &Reader) {
+  customer Customer;
+  Customer.Name = customer_name(Reader.text("name"));
+  Customer.Share = std::uint32_t(Reader.number("share", 1, 1000, 1));
+  return Customer;
+}
+
+static server_limits readLimits(object_reader &Reader) {
+  server_limits Limits;
+  Limits.Slots = std::uint32_t(Reader.number("slots", 1, 10000, 10));
+  Limits.Connections =
+      std::uint32_t(Reader.number("connections", 1, 100000, 100));
+  Limits.QueueLength =
+      std::uint32_t(Reader.number("queue_length", 0, 10000, 20));
+  Limits.ConnectCost =
+      Reader.duration("connect_cost_us", microseconds(0), microseconds(1000000),
+                      std::optional(microseconds(1000)));
+  Limits.ProbeCost =
+      Reader.duration("probe_cost_us", microseconds(0), microseconds(1000000),
+                      std::optional(microseconds(1000)));
+  Reader.finish();
+  return Limits;
+}
+
+static retry_rules readRetries(object_reader &Reader) {
+  retry_rules Rules;
+  Rules.MaxTries = std::uint32_t(Reader.number("max_tries", 1, 5, 3));
+  Rules.Budget = Reader.fraction("budget", 0, 0.5, 0.1);
+  Reader.finish();
+  return Rules;
+}
+
+static service readService(object_reader &Reader) {
+  service Service;
+  Service.Name = service_name(Reader.text("name"));
+  Service.Version = version_name(Reader.text("version"));
+  if (const auto *Json = Reader.object("limits")) {
+    object_reader Limits(*Json, Reader.pathOf("limits"), Reader.faults());
+    Service.Limits = readLimits(Limits);
+  }
+  if (const auto *Json = Reader.object("retries")) {
+    object_reader Retries(*Json, Reader.pathOf("retries"), Reader.faults());
+    Service.Retries = readRetries(Retries);
+  }
+  return Service;
+}
+
+static route readRoute(object_reader &Reader) {
+  route Route;
+  Route.Name = route_name(Reader.text("name"));
+  Route.PathPrefix = Reader.text("path");
+  if (!Route.PathPrefix.empty() && Route.PathPrefix.front() != '/')
+    Reader.faults().add(Reader.pathOf("path"), "must start with /");
+  Route.Service = service_name(Reader.text("service"));
+  Route.Idempotent = Reader.flag("idempotent", false);
+  Route.Deadline =
+      Reader.duration("deadline_ms", milliseconds(1), milliseconds(600000),
+                      std::optional(milliseconds(2000)));
+  Route.Priority = readPriority(Reader);
+  Route.MaxBodyBytes =
+      std::uint64_t(Reader.number("max_body_bytes", 0, 64 << 20, 1 << 20));
+  return Route;
+}
+
+static rollout readRollout(object_reader &Reader) {
+  rollout Rollout;
+  Rollout.Service = service_name(Reader.text("service"));
+  Rollout.Version = version_name(Reader.text("version"));
+  Rollout.FinishBy = readTime(Reader, "finish_by");
+  Rollout.MaxShareBeforeVerdict =
+      Reader.fraction("max_share_before_verdict", 0.001, 0.05, 0.05);
+  return Rollout;
+}
+
+template <class Entry>
+static std::vector<Entry> readList(object_reader &Reader,
+                                   const std::string &Key,
+                                   Entry (*Read)(object_reader &)) {
+  std::vector<Entry> Entries;
+  const nlohmann::json *Array = Reader.array(Key);
+  if (!Array)
+    return Entries;
+  Entries.reserve(Array->size());
+  for (std::size_t Index = 0; Index < Array->size(); ++Index) {
+    std::string Path = Reader.pathOf(Key) + "[" + std::to_string(Index) + "]";
+    object_reader Item((*Array)[Index], Path, Reader.faults());
+    Entries.push_back(Read(Item));
+    Item.finish();
+  }
+  return Entries;
+}
+
+site_configuration readConfiguration(object_reader &Reader) {
+  site_configuration Configuration;
+  Configuration.Site = site_name(Reader.text("site"));
+  Configuration.ZoneRoundTrip =
+      Reader.duration("zone_round_trip_us", microseconds(0),
+                      microseconds(1000000), std::optional(microseconds(1000)));
+  Configuration.Zones = readList(Reader, "availability_zones", readZone);
+  Configuration.Customers = readList(Reader, "customers", readCustomer);
+  Configuration.Services = readList(Reader, "services", readService);
+  Configuration.Routes = readList(Reader, "routes", readRoute);
+  Configuration.Rollouts = readList(Reader, "rollouts", readRollout);
+  Reader.finish();
+  sortConfiguration(Configuration);
+  return Configuration;
+}
+
+void sortConfiguration(site_configuration &Configuration) {
+  std::stable_sort(
+      Configuration.Services.begin(), Configuration.Services.end(),
+      [](const service &A, const service &B) { return A.Name < B.Name; });
+  std::stable_sort(Configuration.Routes.begin(), Configuration.Routes.end(),
+                   [](const route &A, const route &B) {
+                     if (A.PathPrefix.size() != B.PathPrefix.size())
+                       return A.PathPrefix.size() > B.PathPrefix.size();
+                     return A.PathPrefix < B.PathPrefix;
+                   });
+  std::stable_sort(
+      Configuration.Rollouts.begin(), Configuration.Rollouts.end(),
+      [](const rollout &A, const rollout &B) { return A.Service < B.Service; });
+}
+
+nlohmann::json toJson(const availability_zone &Zone) {
+  return {{"name", Zone.Name.str()}, {"region", Zone.Region.str()}};
+}
+
+nlohmann::json toJson(const customer &Customer) {
+  return {{"name", Customer.Name.str()}, {"share", Customer.Share}};
+}
+
+nlohmann::json toJson(const service &Service) {
+  const server_limits &Limits = Service.Limits;
+  return {{"name", Service.Name.str()},
+          {"version", Service.Version.str()},
+          {"limits",
+           {{"slots", Limits.Slots},
+            {"connections", Limits.Connections},
+            {"queue_length", Limits.QueueLength},
+            {"connect_cost_us", Limits.ConnectCost.count()},
+            {"probe_cost_us", Limits.ProbeCost.count()}}},
+          {"retries",
+           {{"max_tries", Service.Retries.MaxTries},
+            {"budget", Service.Retries.Budget}}}};
+}
+
+nlohmann::json toJson(const route &Route) {
+  return {{"name", Route.Name.str()},
+          {"path", Route.PathPrefix},
+          {"service", Route.Service.str()},
+          {"idempotent", Route.Idempotent},
+          {"deadline_ms", Route.Deadline.count()},
+          {"priority", PriorityNames[unsigned(Route.Priority)]},
+          {"max_body_bytes", Route.MaxBodyBytes}};
+}
+
+nlohmann::json toJson(const rollout &Rollout) {
+  return {{"service", Rollout.Service.str()},
+          {"version", Rollout.Version.str()},
+          {"finish_by", writeTime(Rollout.FinishBy)},
+          {"max_share_before_verdict", Rollout.MaxShareBeforeVerdict}};
+}
+
+} // namespace gentianlug::config::detail
--- /dev/null
+++ b/libs/distribution/src/distribution.cpp
@@ -0,0 +1,1 @@
+// Keeps the library non-empty until its first decision lands.
--- /dev/null
+++ b/libs/node/include/gentianlug/node/admin_task.h
@@ -0,0 +1,40 @@
+#ifndef GENTIANLUG_NODE_ADMIN_TASK_H
+#define GENTIANLUG_NODE_ADMIN_TASK_H
+
+#include "gentianlug/net/mailbox.h"
+#include "gentianlug/net/task.h"
+#include "gentianlug/node/messages.h"
+#include "gentianlug/settings/node_settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace gentianlug::node {
+
+/// Takes announcements of the local server and shows metrics and status.
+class admin_task final : public net::task {
+public:
+  /// Where the task sends its messages.
+  struct outputs {
+    std::function<void(server_announced)> Announced;
+  };
+
+  admin_task(settings::node_settings Settings, outputs Outputs);
+  ~admin_task() override;
+
+  /// Opens the listener. Call it before `start`.
+  result<void> listen();
+
+  net::mailbox<task_report> &reports();
+  net::mailbox<stop_request> &stops();
+
+private:
+  void onStart() override;
+
+  struct impl;
+  std::unique_ptr<impl> Impl;
+};
+
+} // namespace gentianlug::node
+
+#endif // GENTIANLUG_NODE_ADMIN_TASK_H
--- /dev/null
+++ b/libs/node/include/gentianlug/node/control_task.h
@@ -0,0 +1,39 @@
+#ifndef GENTIANLUG_NODE_CONTROL_TASK_H
+#define GENTIANLUG_NODE_CONTROL_TASK_H
+
+#include "gentianlug/net/mailbox.h"
+#include "gentianlug/net/task.h"
+#include "gentianlug/node/messages.h"
+#include "gentianlug/settings/node_settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace gentianlug::node {
+
+/// Holds the configuration in force and takes part in its distribution.
+class control_task final : public net::task {
+public:
+  /// Where the task sends its messages.
+  struct outputs {
+    std::function<void(std::shared_ptr<const routing_snapshot>)> Routing;
+    std::function<void(task_report)> Report;
+  };
+
+  control_task(settings::node_settings Settings, outputs Outputs);
+  ~control_task() override;
+
+  net::mailbox<server_announced> &announcements();
+  net::mailbox<stop_request> &stops();
+
+private:
+  void onStart() override;
+  void onStop() override;
+
+  struct impl;
+  std::unique_ptr<impl> Impl;
+};
+
+} // namespace gentianlug::node
+
+#endif // GENTIANLUG_NODE_CONTROL_TASK_H
--- /dev/null
+++ b/libs/node/include/gentianlug/node/messages.h
@@ -0,0 +1,54 @@
+#ifndef GENTIANLUG_NODE_MESSAGES_H
+#define GENTIANLUG_NODE_MESSAGES_H
+
+#include "gentianlug/config/model.h"
+#include "gentianlug/membership/member_record.h"
+#include "gentianlug/platform/zone_state.h"
+#include "gentianlug/rollout/rollout_state.h"
+#include "gentianlug/wire/server_announcement.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gentianlug::node {
+
+// Messages between the tasks of a node. Snapshots are immutable and shared.
+
+/// Everything that routing needs, swapped in as one.
+struct routing_snapshot {
+  /// Null until a version is in force.
+  std::shared_ptr<const config::versioned_configuration> Configuration;
+  /// Serving and draining members, by node.
+  std::shared_ptr<const std::vector<membership::member_record>> Members;
+  std::map<zone_name, platform::zone_out> ZonesOut;
+  std::map<service_name, rollout::rollout_state> Rollouts;
+  /// The server beside this node, once it has announced itself.
+  std::optional<wire::server_announcement> Server;
+};
+
+/// A new or renewed announcement of the server beside this node.
+struct server_announced {
+  wire::server_announcement Announcement;
+};
+
+/// The node shall stop gracefully.
+struct stop_request {};
+
+/// What the admin listener shows of one task.
+struct task_report {
+  /// Name of the reporting task, the key of its reports.
+  std::string Task;
+  /// Metrics in the Prometheus text form.
+  std::string Metrics;
+  /// One JSON object.
+  std::string StatusJson;
+  /// Plain sentences.
+  std::vector<std::string> Sentences;
+};
+
+} // namespace gentianlug::node
+
+#endif // GENTIANLUG_NODE_MESSAGES_H
--- /dev/null
+++ b/libs/node/include/gentianlug/node/proxy_task.h
@@ -0,0 +1,42 @@
+#ifndef GENTIANLUG_NODE_PROXY_TASK_H
+#define GENTIANLUG_NODE_PROXY_TASK_H
+
+#include "gentianlug/net/mailbox.h"
+#include "gentianlug/net/task.h"
+#include "gentianlug/node/messages.h"
+#include "gentianlug/settings/node_settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace gentianlug::node {
+
+/// Serves callers and other nodes, and guards the server beside the node.
+class proxy_task final : public net::task {
+public:
+  /// Where the task sends its messages.
+  struct outputs {
+    std::function<void(task_report)> Report;
+    /// All calls under way have finished after a stop request.
+    std::function<void()> Drained;
+  };
+
+  proxy_task(settings::node_settings Settings, outputs Outputs);
+  ~proxy_task() override;
+
+  /// Opens the listeners. Call it before `start`.
+  result<void> listen();
+
+  net::mailbox<std::shared_ptr<const routing_snapshot>> &snapshots();
+  net::mailbox<stop_request> &stops();
+
+private:
+  void onStart() override;
+
+  struct impl;
+  std::unique_ptr<impl> Impl;
+};
+
+} // namespace gentianlug::node
+
+#endif // GENTIANLUG_NODE_PROXY_TASK_H
--- /dev/null
+++ b/libs/node/src/node.cpp
@@ -0,0 +1,85 @@
+#include "gentianlug/node/node.h"
+
+#include "gentianlug/net/signal_watch.h"
+#include "gentianlug/node/admin_task.h"
+#include "gentianlug/node/control_task.h"
+#include "gentianlug/node/proxy_task.h"
+#include "gentianlug/observe/log.h"
+
+#include <csignal>
+
+namespace gentianlug::node {
+
+using observe::event;
+using observe::logEvent;
+
+namespace {
+
+/// The tasks of one node with the wiring of their messages. Messages may reach
+/// a task that has not started yet; its mailbox keeps them.
+struct node_tasks {
+  admin_task Admin;
+  proxy_task Proxy;
+  control_task Control;
+
+  explicit node_tasks(const settings::node_settings &Settings)
+      : Admin(Settings, {[this](server_announced Message) {
+                Control.announcements().post(std::move(Message));
+              }}),
+        Proxy(Settings, {[this](task_report Report) {
+                           Admin.reports().post(std::move(Report));
+                         },
+                         [this] { Control.stops().post({}); }}),
+        Control(Settings,
+                {[this](std::shared_ptr<const routing_snapshot> Snapshot) {
+                   Proxy.snapshots().post(std::move(Snapshot));
+                 },
+                 [this](task_report Report) {
+                   Admin.reports().post(std::move(Report));
+                 }}) {}
+
+  result<void> listen() {
+    if (auto Listening = Proxy.listen(); !Listening)
+      return Listening;
+    return Admin.listen();
+  }
+
+  void start() {
+    Admin.start();
+    Proxy.start();
+    Control.start();
+  }
+
+  void join() {
+    Proxy.join();
+    Control.join();
+    Admin.stops().post({});
+    Admin.join();
+  }
+};
+
+} // namespace
+
+result<void> runNode(const settings::node_settings &Settings) {
+  std::signal(SIGPIPE, SIG_IGN);
+  node_tasks Tasks(Settings);
+  if (auto Listening = Tasks.listen(); !Listening) {
+    logEvent(event::ListenFailed, Listening.failure().message());
+    return Listening;
+  }
+  Tasks.start();
+  logEvent(event::NodeStarted, Settings.Node.str() + " in " +
+                                   Settings.Zone.str() + ", callers at " +
+                                   Settings.CallerListen.str());
+  net::event_loop Signals;
+  net::signal_watch Watch(Signals, {SIGTERM, SIGINT}, [&](int) {
+    Tasks.Proxy.stops().post({});
+    Signals.stop();
+  });
+  Signals.run();
+  Tasks.join();
+  logEvent(event::NodeStopped, Settings.Node.str());
+  return {};
+}
+
+} // namespace gentianlug::node
