--- a/libs/node/include/gentianlug/node/messages.h
+++ b/libs/node/include/gentianlug/node/messages.h
@@ -4,6 +4,7 @@
 #include "gentianlug/config/model.h"
 #include "gentianlug/membership/member_record.h"
 #include "gentianlug/platform/zone_state.h"
+#include "gentianlug/rollout/evidence.h"
 #include "gentianlug/rollout/rollout_state.h"
 #include "gentianlug/wire/server_announcement.h"
 
@@ -34,6 +35,19 @@
   wire::server_announcement Announcement;
 };
 
+/// Evidence of the local server for the controller of its rollout.
+struct evidence_ready {
+  rollout::server_evidence Evidence;
+};
+
+/// Whether the local server shall get no more calls, for strong evidence
+/// against its version.
+struct version_cut {
+  version_name Version;
+  std::string RolloutId;
+  bool Cut = false;
+};
+
 /// The node shall stop gracefully.
 struct stop_request {};
 
--- a/libs/node/include/gentianlug/node/proxy_task.h
+++ b/libs/node/include/gentianlug/node/proxy_task.h
@@ -17,6 +17,7 @@
   /// Where the task sends its messages.
   struct outputs {
     std::function<void(task_report)> Report;
+    std::function<void(evidence_ready)> Evidence;
     /// All calls under way have finished after a stop request.
     std::function<void()> Drained;
   };
@@ -28,6 +29,7 @@
   result<void> listen();
 
   net::mailbox<std::shared_ptr<const routing_snapshot>> &snapshots();
+  net::mailbox<version_cut> &cuts();
   net::mailbox<stop_request> &stops();
 
 private:
--- a/libs/node/src/control_task.cpp
+++ b/libs/node/src/control_task.cpp
@@ -75,10 +75,29 @@
     Outputs.Report(std::move(Report));
   }
 
+  membership::member_record
+  ownRecord(const wire::server_announcement &Announcement) const {
+    membership::member_record Record;
+    Record.Node = Settings.Node;
+    Record.Zone = Settings.Zone;
+    Record.PeerAddress = Settings.PeerListen;
+    Record.ControlAddress = Settings.ControlListen;
+    Record.Service = Announcement.Service;
+    Record.Version = Announcement.Version;
+    Record.Slots = Announcement.Slots;
+    Record.ServerIncarnation = Announcement.Incarnation;
+    Record.State = Announcement.Draining ? membership::member_state::Draining
+                                         : membership::member_state::Serving;
+    return Record;
+  }
+
   void onAnnounced(const server_announced &Message) {
     if (Snapshot.Server == Message.Announcement)
       return;
     Snapshot.Server = Message.Announcement;
+    Snapshot.Members =
+        std::make_shared<const std::vector<membership::member_record>>(
+            1, ownRecord(Message.Announcement));
     logEvent(event::ServerAnnounced, Message.Announcement.Service.str() + " " +
                                          Message.Announcement.Version.str() +
                                          " at " +
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -29,6 +29,7 @@
         Proxy(Settings, {[this](task_report Report) {
                            Admin.reports().post(std::move(Report));
                          },
+                         [](const evidence_ready &) {},
                          [this] { Control.stops().post({}); }}),
         Control(Settings,
                 {[this](std::shared_ptr<const routing_snapshot> Snapshot) {
--- a/libs/rollout/src/rollout.cpp
+++ b/libs/rollout/src/rollout.cpp
@@ -1,1 +1,16 @@
-// Keeps the library non-empty until its first decision lands.
+#include "gentianlug/rollout/evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gentianlug::rollout {
+
+std::size_t latencyBucket(std::chrono::microseconds Latency) {
+  if (Latency < LowestBucket)
+    return 0;
+  double Ratio = double(Latency.count()) / double(LowestBucket.count());
+  auto Bucket = std::size_t(2 * std::log2(Ratio)) + 1;
+  return std::min(Bucket, LatencyBuckets - 1);
+}
+
+} // namespace gentianlug::rollout
--- /dev/null
+++ b/libs/wire/include/gentianlug/wire/rollout_values.h
@@ -0,0 +1,23 @@
+#ifndef GENTIANLUG_WIRE_ROLLOUT_VALUES_H
+#define GENTIANLUG_WIRE_ROLLOUT_VALUES_H
+
+#include "gentianlug/core/result.h"
+#include "gentianlug/rollout/evidence.h"
+#include "gentianlug/rollout/rollout_state.h"
+
+#include <string>
+#include <string_view>
+
+namespace gentianlug::wire {
+
+/// Decodes the value of `live/rollout/SERVICE`.
+result<rollout::rollout_state> decodeRolloutState(std::string_view Text);
+std::string encode(const rollout::rollout_state &State);
+
+/// Decodes the body of `POST /v1/evidence`.
+result<rollout::server_evidence> decodeServerEvidence(std::string_view Text);
+std::string encode(const rollout::server_evidence &Evidence);
+
+} // namespace gentianlug::wire
+
+#endif // GENTIANLUG_WIRE_ROLLOUT_VALUES_H
--- /dev/null
+++ b/libs/wire/src/rollout_values.cpp
@@ -0,0 +1,119 @@
+#include "gentianlug/wire/rollout_values.h"
+
+#include "detail/decoder.h"
+
+namespace gentianlug::wire {
+
+using nlohmann::json;
+using settings::object_reader;
+
+static constexpr const char *PhaseNames[] = {"waiting", "growing", "paused",
+                                             "done", "taken_back"};
+
+static rollout::rollout_phase readPhase(object_reader &Reader) {
+  std::string Text = Reader.text("phase");
+  for (unsigned Index = 0; Index < std::size(PhaseNames); ++Index)
+    if (Text == PhaseNames[Index])
+      return rollout::rollout_phase(Index);
+  Reader.faults().add(Reader.pathOf("phase"), "is not a known phase");
+  return rollout::rollout_phase::Waiting;
+}
+
+static rollout::rollout_state readState(object_reader &Reader) {
+  rollout::rollout_state State;
+  State.Id = Reader.text("id");
+  State.Service = service_name(Reader.text("service"));
+  State.Version = version_name(Reader.text("version"));
+  State.Phase = readPhase(Reader);
+  State.Share = Reader.fraction("share", 0, 1);
+  State.NonIdempotentShare = Reader.fraction("non_idempotent_share", 0, 1);
+  State.FinishBy = detail::readWallTime(Reader, "finish_by_ms");
+  State.Epoch = detail::readUnsigned(Reader, "epoch");
+  State.Reason = Reader.text("reason", "");
+  State.WriteId = Reader.text("write_id", "");
+  return State;
+}
+
+result<rollout::rollout_state> decodeRolloutState(std::string_view Text) {
+  return detail::decodeObject(Text, "live/rollout", readState);
+}
+
+std::string encode(const rollout::rollout_state &State) {
+  return json{{"id", State.Id},
+              {"service", State.Service.str()},
+              {"version", State.Version.str()},
+              {"phase", PhaseNames[unsigned(State.Phase)]},
+              {"share", State.Share},
+              {"non_idempotent_share", State.NonIdempotentShare},
+              {"finish_by_ms", detail::wallTimeCount(State.FinishBy)},
+              {"epoch", State.Epoch},
+              {"reason", State.Reason},
+              {"write_id", State.WriteId}}
+      .dump();
+}
+
+static rollout::latency_counts readLatencies(object_reader &Reader) {
+  rollout::latency_counts Counts{};
+  const json *Array = Reader.array("latencies");
+  if (!Array)
+    return Counts;
+  if (Array->size() > Counts.size()) {
+    Reader.faults().add(Reader.pathOf("latencies"), "has too many buckets");
+    return Counts;
+  }
+  for (std::size_t Index = 0; Index < Array->size(); ++Index) {
+    const json &Count = (*Array)[Index];
+    if (Count.is_number_unsigned() && Count.get<std::uint64_t>() <= UINT32_MAX)
+      Counts[Index] = Count.get<std::uint32_t>();
+    else
+      Reader.faults().add(Reader.pathOf("latencies"), "must hold counts");
+  }
+  return Counts;
+}
+
+static rollout::route_evidence readRoute(object_reader &Reader) {
+  rollout::route_evidence Route;
+  Route.Route = route_name(Reader.text("route"));
+  Route.Calls = std::uint32_t(Reader.number("calls", 0, UINT32_MAX));
+  Route.Errors = std::uint32_t(Reader.number("errors", 0, UINT32_MAX));
+  Route.Latencies = readLatencies(Reader);
+  return Route;
+}
+
+static rollout::server_evidence readEvidence(object_reader &Reader) {
+  rollout::server_evidence Evidence;
+  Evidence.Node = node_id(Reader.text("node"));
+  Evidence.Service = service_name(Reader.text("service"));
+  Evidence.Version = version_name(Reader.text("version"));
+  Evidence.ServerIncarnation = detail::readUnsigned(Reader, "incarnation");
+  Evidence.Sequence = detail::readUnsigned(Reader, "sequence");
+  Evidence.Allowance = std::uint32_t(Reader.number("allowance", 0, UINT32_MAX));
+  Evidence.FullAllowance =
+      std::uint32_t(Reader.number("full_allowance", 0, UINT32_MAX));
+  Evidence.Routes = detail::readList(Reader, "routes", readRoute);
+  return Evidence;
+}
+
+result<rollout::server_evidence> decodeServerEvidence(std::string_view Text) {
+  return detail::decodeObject(Text, "evidence", readEvidence);
+}
+
+std::string encode(const rollout::server_evidence &Evidence) {
+  json Routes = json::array();
+  for (const rollout::route_evidence &Route : Evidence.Routes)
+    Routes.push_back({{"route", Route.Route.str()},
+                      {"calls", Route.Calls},
+                      {"errors", Route.Errors},
+                      {"latencies", Route.Latencies}});
+  return json{{"node", Evidence.Node.str()},
+              {"service", Evidence.Service.str()},
+              {"version", Evidence.Version.str()},
+              {"incarnation", Evidence.ServerIncarnation},
+              {"sequence", Evidence.Sequence},
+              {"allowance", Evidence.Allowance},
+              {"full_allowance", Evidence.FullAllowance},
+              {"routes", Routes}}
+      .dump();
+}
+
+} // namespace gentianlug::wire
--- /dev/null
+++ b/libs/wire/tests/rollout_values_test.cpp
@@ -0,0 +1,39 @@
+#include "gentianlug/wire/rollout_values.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::wire;
+
+TEST_GROUP(rollout_values){};
+
+// Guards against a controller that resumes from a state other than it wrote.
+TEST(rollout_values, StateRoundTrip) {
+  rollout::rollout_state State;
+  State.Id = "commandes@v2@1";
+  State.Service = service_name("commandes");
+  State.Version = version_name("v2");
+  State.Phase = rollout::rollout_phase::Growing;
+  State.Share = 0.05;
+  State.NonIdempotentShare = 0.025;
+  State.FinishBy = wall_time(std::chrono::seconds(1));
+  State.Epoch = 3;
+  auto Decoded = decodeRolloutState(encode(State));
+  CHECK(bool(Decoded));
+  CHECK(State == *Decoded);
+}
+
+// Guards against evidence with more buckets than the receiver has.
+TEST(rollout_values, RefusesEvidenceWithTooManyBuckets) {
+  rollout::server_evidence Evidence;
+  Evidence.Node = node_id("n");
+  Evidence.Service = service_name("s");
+  Evidence.Version = version_name("v");
+  Evidence.Routes.push_back({route_name("r"), 2, 1, {}});
+  std::string Text = encode(Evidence);
+  auto Decoded = decodeServerEvidence(Text);
+  CHECK(bool(Decoded));
+  CHECK(Evidence == *Decoded);
+  Text.insert(Text.find("\"latencies\":[") + 13, "0,");
+  CHECK_FALSE(bool(decodeServerEvidence(Text)));
+}
