--- /dev/null
+++ b/libs/wire/include/gentianlug/wire/lease_values.h
@@ -0,0 +1,18 @@
+#ifndef GENTIANLUG_WIRE_LEASE_VALUES_H
+#define GENTIANLUG_WIRE_LEASE_VALUES_H
+
+#include "gentianlug/core/result.h"
+#include "gentianlug/platform/lease.h"
+
+#include <string>
+#include <string_view>
+
+namespace gentianlug::wire {
+
+/// Decodes the value of a lease. Errors: `wire_errc::MalformedMessage`.
+result<platform::lease_value> decodeLeaseValue(std::string_view Text);
+std::string encode(const platform::lease_value &Lease);
+
+} // namespace gentianlug::wire
+
+#endif // GENTIANLUG_WIRE_LEASE_VALUES_H
--- /dev/null
+++ b/libs/wire/src/lease_values.cpp
@@ -0,0 +1,28 @@
+#include "gentianlug/wire/lease_values.h"
+
+#include "detail/decoder.h"
+
+namespace gentianlug::wire {
+
+static platform::lease_value readLease(settings::object_reader &Reader) {
+  platform::lease_value Lease;
+  Lease.Holder = node_id(Reader.text("holder", ""));
+  Lease.Control = Reader.endpoint("control");
+  Lease.Epoch = detail::readUnsigned(Reader, "epoch");
+  Lease.WriteId = Reader.text("write_id");
+  return Lease;
+}
+
+result<platform::lease_value> decodeLeaseValue(std::string_view Text) {
+  return detail::decodeObject(Text, "lease", readLease);
+}
+
+std::string encode(const platform::lease_value &Lease) {
+  return nlohmann::json{{"holder", Lease.Holder.str()},
+                        {"control", Lease.Control.str()},
+                        {"epoch", Lease.Epoch},
+                        {"write_id", Lease.WriteId}}
+      .dump();
+}
+
+} // namespace gentianlug::wire
