--- a/libs/platform/tests/lease_test.cpp
+++ b/libs/platform/tests/lease_test.cpp
@@ -35,7 +35,7 @@
     return Action.Operation;
   }
 
-  void run(lease_contender & C, std::chrono::milliseconds Time) {
+  void runFor(lease_contender & C, std::chrono::milliseconds Time) {
     for (auto Passed = 0ms; Passed < Time; Passed += 100ms) {
       step(C);
       Clock.advance(100ms);
@@ -47,7 +47,7 @@
 
 TEST(lease, FreeLeaseIsTakenAndRenewed) {
   lease_contender A = contender("a");
-  run(A, 10s);
+  runFor(A, 10s);
   CHECK(holds(A));
   CHECK_EQUAL(1U, A.epoch());
   // One write takes the lease, one every 2 s renews it.
@@ -73,7 +73,7 @@
 TEST(lease, PausedHolderStopsBeforeTheTakeoverAndIsFencedOff) {
   lease_contender A = contender("a");
   lease_contender B = contender("b");
-  run(A, 1s);
+  runFor(A, 1s);
   auto Epoch = A.epoch();
   for (int Round = 0; Round < 100 && !holds(B); ++Round) {
     step(B);
@@ -82,7 +82,7 @@
   }
   CHECK(holds(B));
   CHECK_EQUAL(Epoch + 1, B.epoch());
-  run(A, 1s);
+  runFor(A, 1s);
   CHECK_FALSE(holds(A));
   CHECK_FALSE(A.isLastKnownHolder());
 }
@@ -94,7 +94,7 @@
   step(A);
   CHECK(step(A, true) == lease_operation::Write);
   CHECK_FALSE(holds(A));
-  run(A, 1s);
+  runFor(A, 1s);
   CHECK(holds(A));
   CHECK_EQUAL(1U, LastRevision);
 }
@@ -103,7 +103,7 @@
 // although nobody can take it over; it must only stop its platform writes.
 TEST(lease, HolderKeepsTheRoleButStopsWritingWhilePlatformIsDown) {
   lease_contender A = contender("a");
-  run(A, 1s);
+  runFor(A, 1s);
   for (int Round = 0; Round < 100; ++Round) {
     if (A.next(Clock.steadyNow(), Gen).Operation != lease_operation::Wait)
       A.onNoAnswer(Clock.steadyNow());
@@ -111,7 +111,7 @@
   }
   CHECK_FALSE(holds(A));
   CHECK(A.isLastKnownHolder());
-  run(A, 3s);
+  runFor(A, 3s);
   CHECK(holds(A));
 }
 
@@ -119,11 +119,11 @@
 TEST(lease, ReleasedLeaseIsTakenAtOnceWithTheNextEpoch) {
   lease_contender A = contender("a");
   lease_contender B = contender("b");
-  run(A, 1s);
+  runFor(A, 1s);
   A.release();
   step(A);
   CHECK_FALSE(holds(A));
-  run(B, 200ms);
+  runFor(B, 200ms);
   CHECK(holds(B));
   CHECK_EQUAL(2U, B.epoch());
 }
