--- /dev/null
+++ b/libs/distribution/include/gentianlug/distribution/node_state.h
@@ -0,0 +1,128 @@
+#ifndef GENTIANLUG_DISTRIBUTION_NODE_STATE_H
+#define GENTIANLUG_DISTRIBUTION_NODE_STATE_H
+
+#include "gentianlug/distribution/change_log.h"
+#include "gentianlug/distribution/config_history.h"
+#include "gentianlug/distribution/sync_messages.h"
+#include "gentianlug/membership/member_table.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+
+namespace gentianlug::distribution {
+
+/// Live values that a node keeps, deleted ones included; further keys are
+/// ignored. Above the number of services at design size.
+inline constexpr std::size_t MaxLiveValues = 4096;
+
+/// Polls with one and the same difference of digests before a snapshot. A
+/// difference is normal while records are on their way.
+inline constexpr unsigned DifferingPolls = 3;
+
+/// Where an update came from.
+enum class update_source : std::uint8_t {
+  /// The parent, a seed peer, or another root relay.
+  Above,
+  /// This node or a node below it.
+  Below,
+};
+
+/// What an update changed.
+struct update_outcome {
+  bool MembersChanged = false;
+  bool LiveChanged = false;
+  bool ConfigChanged = false;
+  /// Records that the sender does not have: the own refutation, or records
+  /// that are missing from a snapshot.
+  std::vector<membership::member_record> Missing;
+  /// Reason why the configuration of the update was refused.
+  std::optional<refusal_report> Refusal;
+};
+
+/// The versioned state of a node: configuration in force, member table and
+/// live values. All parts merge upward only, so that repeated, old or
+/// reordered updates change nothing.
+class node_state {
+public:
+  /// \param Epoch of the change log; see `change_log`.
+  node_state(node_id Self, std::uint64_t Epoch,
+             membership::member_times Times = {});
+
+  /// Merges an update.
+  update_outcome apply(const state_update &Update, update_source Source,
+                       steady_time Now);
+
+  /// Merges records from below; returns what changed.
+  update_outcome
+  applyMembers(const std::vector<membership::member_record> &Records,
+               update_source Source, steady_time Now);
+
+  /// Merges values that the platform reported.
+  bool applyLive(const std::vector<live_value> &Values, update_source Source);
+
+  /// Takes a complete version that was assembled and checked already.
+  ///
+  /// \returns whether it was newer than the version in force.
+  bool
+  putInForce(config_image Image,
+             std::shared_ptr<const config::versioned_configuration> Assembled);
+
+  /// Publishes the record of this node.
+  void setOwn(membership::member_record Own, steady_time Now);
+
+  /// Marks a node as suspect; see `member_table::suspect`.
+  bool suspect(const node_id &Node, steady_time Now);
+
+  /// Removes expired suspects; returns whether a record changed.
+  bool expire(steady_time Now);
+
+  /// Suspects nodes that nobody watches; see `member_table::suspectOrphans`.
+  template <class IsChild, class IsRoot>
+  bool suspectOrphans(steady_time Now, IsChild &&Child, IsRoot &&Root) {
+    auto Nodes = Members.suspectOrphans(Now, Child, Root);
+    for (const node_id &Node : Nodes)
+      logMember(Node, update_source::Below);
+    return !Nodes.empty();
+  }
+
+  /// Returns what the sender of \p Request lacks.
+  ///
+  /// \param SendSnapshot everything, whatever the cursor says.
+  state_update updateFor(const sync_request &Request, bool SendSnapshot) const;
+
+  /// Returns whether `updateFor` would return something.
+  bool hasNewsFor(const sync_request &Request) const;
+
+  const membership::member_table &members() const { return Members; }
+  const std::map<std::string, live_value> &live() const { return Live; }
+  const std::shared_ptr<const config::versioned_configuration> &
+  configuration() const {
+    return InForce;
+  }
+  config_version version() const { return InForce ? InForce->Version : 0; }
+  config_version refusedVersion() const { return Refused; }
+
+  /// Notes that \p Version cannot be put in force, so that it is not tried
+  /// again.
+  void refuse(config_version Version) { Refused = std::max(Refused, Version); }
+  log_cursor head() const { return Log.head(); }
+
+private:
+  void logMember(const node_id &Node, update_source Source);
+  void applyConfig(const config_update &Update, update_outcome &Outcome);
+  void addMissing(const state_update &Update, update_outcome &Outcome) const;
+  void addEverything(state_update &Update) const;
+
+  node_id Self;
+  membership::member_table Members;
+  std::map<std::string, live_value> Live;
+  config_history History;
+  std::shared_ptr<const config::versioned_configuration> InForce;
+  config_version Refused = 0;
+  change_log Log;
+};
+
+} // namespace gentianlug::distribution
+
+#endif // GENTIANLUG_DISTRIBUTION_NODE_STATE_H
--- /dev/null
+++ b/libs/distribution/src/child_table.cpp
@@ -0,0 +1,103 @@
+#include "gentianlug/distribution/child_table.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace gentianlug::distribution {
+
+using std::chrono::milliseconds;
+using verdict = attach_response::verdict;
+
+/// Delay for a node that asks a relay without a way to the root.
+static constexpr milliseconds DetachedRetry{500};
+
+/// Window of the admission rate.
+static constexpr milliseconds AttachWindow{1000};
+
+bool child_table::takeAttach(steady_time Now) {
+  if (Now - WindowStart >= AttachWindow) {
+    WindowStart = Now;
+    AttachesInWindow = 0;
+  }
+  if (AttachesInWindow >= MaxAttachesPerSecond)
+    return false;
+  ++AttachesInWindow;
+  return true;
+}
+
+attach_response child_table::attach(const peer_identity &From,
+                                    const std::vector<node_id> &Path,
+                                    steady_time Now) {
+  attach_response Response;
+  Response.Path = Path;
+  bool Loop = std::find(Path.begin(), Path.end(), From.Node) != Path.end();
+  if (Path.empty() || Loop || Path.size() >= MaxPathLength) {
+    Response.RetryAfter = DetachedRetry;
+    return Response;
+  }
+  if (!takeAttach(Now)) {
+    Response.RetryAfter = AttachWindow;
+    return Response;
+  }
+  if (!contains(From.Node) && Children.size() >= MaxChildren) {
+    auto Target = std::next(Children.begin(),
+                            std::ptrdiff_t(NextRedirect++ % Children.size()));
+    Response.Verdict = verdict::Redirected;
+    Response.RedirectTo = Target->second.Control;
+    return Response;
+  }
+  child &Child = Children[From.Node];
+  Child = {From.Control, From.Incarnation, Now, false, {}};
+  Response.Verdict = verdict::Admitted;
+  return Response;
+}
+
+bool child_table::onPoll(const sync_request &Request, steady_time Now) {
+  auto Entry = Children.find(Request.From.Node);
+  if (Entry == Children.end()) {
+    if (Children.size() >= MaxChildren)
+      return false;
+    Entry = Children.emplace(Request.From.Node, child{}).first;
+  }
+  child &Child = Entry->second;
+  Child.Control = Request.From.Control;
+  Child.Incarnation = Request.From.Incarnation;
+  Child.LastSeen = Now;
+  Child.Waiting = true;
+  Child.Report = Request.Report;
+  return true;
+}
+
+void child_table::onAnswered(const node_id &Node, steady_time Now) {
+  auto Entry = Children.find(Node);
+  if (Entry == Children.end())
+    return;
+  Entry->second.LastSeen = Now;
+  Entry->second.Waiting = false;
+}
+
+std::vector<node_id> child_table::removeMissing(steady_time Now) {
+  std::vector<node_id> Missing;
+  for (const auto &[Node, Child] : Children)
+    if (!Child.Waiting && Now - Child.LastSeen >= ChildTimeout)
+      Missing.push_back(Node);
+  for (const node_id &Node : Missing)
+    Children.erase(Node);
+  return Missing;
+}
+
+tree_report child_table::report() const {
+  tree_report Sum;
+  for (const auto &[Node, Child] : Children)
+    Sum.merge(Child.Report);
+  return Sum;
+}
+
+std::vector<node_id> child_table::nodes() const {
+  std::vector<node_id> Nodes;
+  for (const auto &[Node, Child] : Children)
+    Nodes.push_back(Node);
+  return Nodes;
+}
+
+} // namespace gentianlug::distribution
--- /dev/null
+++ b/libs/distribution/src/tree_attachment.cpp
@@ -0,0 +1,130 @@
+#include "gentianlug/distribution/tree_attachment.h"
+
+#include <algorithm>
+
+namespace gentianlug::distribution {
+
+using std::chrono::milliseconds;
+
+/// Mean delay before another search after all relays failed.
+static constexpr milliseconds SearchDelay{1000};
+
+/// Mean delay before the first attach after the parent was lost, so that the
+/// children of a dead relay do not arrive at another one at the same time.
+static constexpr milliseconds ReattachDelay{200};
+
+/// How long a parent without a way to a root is kept. It may find a new parent
+/// meanwhile, which spares its whole subtree a re-attach.
+static constexpr milliseconds DetachedParentLimit{3000};
+
+tree_attachment::tree_attachment(node_id Self, zone_name Zone)
+    : Self(std::move(Self)), Zone(std::move(Zone)) {}
+
+attach_action tree_attachment::next(steady_time Now) {
+  if (Busy || Now < NextOperation)
+    return {};
+  Busy = true;
+  if (Attached)
+    return {attach_operation::Poll, Target};
+  if (HasTarget)
+    return {attach_operation::Attach, Target};
+  return {attach_operation::FindRelays, {}};
+}
+
+void tree_attachment::onRelays(const std::vector<relay_entry> &Relays,
+                               steady_time Now, generator &Gen) {
+  Candidates.clear();
+  for (const relay_entry &Relay : Relays)
+    if (Relay.Node != Self)
+      Candidates.push_back(Relay);
+  std::shuffle(Candidates.begin(), Candidates.end(), Gen);
+  std::stable_partition(
+      Candidates.begin(), Candidates.end(),
+      [&](const relay_entry &Relay) { return Relay.Zone == Zone; });
+  OwnZoneTried = true;
+  OwnZoneAnswered = false;
+  tryNext(Now, Gen);
+  if (HasTarget)
+    NextOperation = Now;
+}
+
+void tree_attachment::tryNext(steady_time Now, generator &Gen) {
+  Busy = false;
+  Attached = false;
+  Path.clear();
+  Redirects = 0;
+  HasTarget = !Candidates.empty();
+  if (!HasTarget) {
+    NextOperation = Now + drawJitter(Gen, SearchDelay);
+    return;
+  }
+  Target = Candidates.front().Control;
+  TargetInOwnZone = Candidates.front().Zone == Zone;
+  Candidates.pop_front();
+  NextOperation = Now + drawJitter(Gen, ReattachDelay);
+}
+
+bool tree_attachment::acceptable(const std::vector<node_id> &ParentPath) const {
+  return std::find(ParentPath.begin(), ParentPath.end(), Self) ==
+         ParentPath.end();
+}
+
+void tree_attachment::onAttachAnswer(const attach_response &Response,
+                                     steady_time Now, generator &Gen) {
+  Busy = false;
+  OwnZoneAnswered = OwnZoneAnswered || TargetInOwnZone;
+  switch (Response.Verdict) {
+  case attach_response::verdict::Admitted:
+    if (!acceptable(Response.Path))
+      return tryNext(Now, Gen);
+    Attached = true;
+    Path = Response.Path;
+    DetachedSince = Now;
+    NextOperation = Now;
+    return;
+  case attach_response::verdict::Redirected:
+    if (++Redirects > MaxRedirects)
+      return tryNext(Now, Gen);
+    Target = Response.RedirectTo;
+    NextOperation = Now;
+    return;
+  case attach_response::verdict::Refused:
+    // A relay without a way to the root cannot help for now.
+    if (Response.Path.empty())
+      return tryNext(Now, Gen);
+    NextOperation = Now + drawJitter(Gen, Response.RetryAfter);
+    return;
+  }
+}
+
+void tree_attachment::onAttachFailed(steady_time Now, generator &Gen) {
+  tryNext(Now, Gen);
+}
+
+void tree_attachment::onPollAnswer(const std::vector<node_id> &ParentPath,
+                                   steady_time Now, generator &Gen) {
+  Busy = false;
+  if (!acceptable(ParentPath))
+    return tryNext(Now, Gen);
+  if (!ParentPath.empty())
+    DetachedSince = Now;
+  else if (Now - DetachedSince >= DetachedParentLimit)
+    return tryNext(Now, Gen);
+  Path = ParentPath;
+  NextOperation = Now;
+}
+
+void tree_attachment::onPollFailed(steady_time Now, generator &Gen) {
+  tryNext(Now, Gen);
+}
+
+void tree_attachment::detach(steady_time Now, milliseconds Delay) {
+  Busy = false;
+  Attached = false;
+  HasTarget = false;
+  Path.clear();
+  Candidates.clear();
+  NextOperation = Now + Delay;
+}
+
+} // namespace gentianlug::distribution
--- a/libs/membership/include/gentianlug/membership/member_record.h
+++ b/libs/membership/include/gentianlug/membership/member_record.h
@@ -38,6 +38,9 @@
   /// Order of the records within one life.
   std::uint64_t Sequence = 0;
   member_state State = member_state::NoServer;
+  /// Relay that the node polls; empty for a root relay. Tells which relay
+  /// notices when the node dies.
+  node_id Parent;
 
   /// Returns whether this record replaces \p Other of the same node. On equal
   /// numbers the later state wins, so that all nodes agree.
--- /dev/null
+++ b/libs/membership/include/gentianlug/membership/member_table.h
@@ -0,0 +1,137 @@
+#ifndef GENTIANLUG_MEMBERSHIP_MEMBER_TABLE_H
+#define GENTIANLUG_MEMBERSHIP_MEMBER_TABLE_H
+
+#include "gentianlug/core/clock.h"
+#include "gentianlug/membership/member_record.h"
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace gentianlug::membership {
+
+/// Most records of a table; records of further nodes are ignored. Twice the
+/// design size of 10,000 nodes.
+inline constexpr std::size_t MaxMembers = 20000;
+
+/// Most records of nodes that have left; the oldest is dropped first.
+inline constexpr std::size_t MaxTombstones = 4096;
+
+/// Times of the failure detection.
+struct member_times {
+  /// From suspicion to removal, without a refutation.
+  std::chrono::milliseconds Suspicion{3000};
+  /// How long the record of a removed node suppresses late updates about it.
+  std::chrono::milliseconds Tombstone{120000};
+  /// How long a node may name a parent that is gone, or that does not know it
+  /// as a child, before it is suspected. Covers one re-attach.
+  std::chrono::milliseconds OrphanGrace{8000};
+};
+
+enum class apply_outcome : std::uint8_t {
+  /// The record is not newer than the known one.
+  Ignored,
+  Changed,
+  /// The record claimed that this node is gone or older than it is; the own
+  /// record has a higher number now and must be published again.
+  Refuted,
+};
+
+/// The known members, merged by (incarnation, sequence, state).
+class member_table {
+public:
+  explicit member_table(node_id Self, member_times Times = {});
+
+  /// Merges one record from another node. Complexity: logarithmic.
+  apply_outcome apply(const member_record &Record, steady_time Now);
+
+  /// Sets the record of this node. Raises its sequence, and its incarnation
+  /// when the table knows a later life of the same name.
+  ///
+  /// \returns the record to publish.
+  const member_record &setOwn(member_record Own, steady_time Now);
+
+  /// Marks a node as suspect. Returns whether that changed its record.
+  bool suspect(const node_id &Node, steady_time Now);
+
+  /// Removes suspects whose time has passed and drops old tombstones.
+  ///
+  /// \returns the nodes whose records changed to `Left`.
+  std::vector<node_id> expire(steady_time Now);
+
+  /// Suspects nodes whose parent is gone, and nodes that name this node as
+  /// their parent without polling it, after the grace.
+  ///
+  /// \param IsChild whether a node polls this node.
+  /// \param IsRoot whether a node without a parent is a known root relay.
+  /// \returns the nodes that became suspect.
+  /// Complexity: linear in the number of members.
+  template <class IsChild, class IsRoot>
+  std::vector<node_id> suspectOrphans(steady_time Now, IsChild &&Child,
+                                      IsRoot &&Root) {
+    std::vector<node_id> Suspected;
+    for (auto &[Node, Entry] : Entries) {
+      const member_record &Record = Entry.Record;
+      bool Covered = Node == Self || isGone(Record) ||
+                     (Record.Parent.empty()   ? Root(Node)
+                      : Record.Parent == Self ? Child(Node)
+                                              : isPresent(Record.Parent));
+      if (Covered)
+        Entry.CoveredAt = Now;
+      else if (Now - Entry.CoveredAt >= Times.OrphanGrace)
+        Suspected.push_back(Node);
+    }
+    for (const node_id &Node : Suspected)
+      suspect(Node, Now);
+    return Suspected;
+  }
+
+  /// Returns the record of \p Node, or null.
+  const member_record *find(const node_id &Node) const;
+
+  /// Returns all records, with those of nodes that have left, by node.
+  std::vector<member_record> all() const;
+
+  /// Returns the serving and draining members, by node, for routing.
+  std::vector<member_record> serving() const;
+
+  /// Returns a hash of 63 bits over the records of nodes that have not left.
+  /// Equal tables have equal digests. Complexity: constant.
+  std::uint64_t digest() const { return Digest >> 1; }
+
+  /// Returns the nodes that are root relays by their own records.
+  std::vector<member_record> roots() const;
+
+  std::size_t size() const { return Entries.size(); }
+
+private:
+  struct entry {
+    member_record Record;
+    steady_time ChangedAt{};
+    steady_time CoveredAt{};
+  };
+
+  static bool isGone(const member_record &Record) {
+    return Record.State == member_state::Suspect ||
+           Record.State == member_state::Left;
+  }
+  bool isPresent(const node_id &Node) const;
+  void store(const member_record &Record, steady_time Now);
+  apply_outcome refute(const member_record &Claim, steady_time Now);
+  void dropTombstones(steady_time Now);
+
+  node_id Self;
+  member_times Times;
+  std::map<node_id, entry> Entries;
+  std::set<node_id> Suspects;
+  /// Removed nodes in the order of their removal.
+  std::deque<node_id> Tombstones;
+  std::uint64_t Digest = 0;
+};
+
+} // namespace gentianlug::membership
+
+#endif // GENTIANLUG_MEMBERSHIP_MEMBER_TABLE_H
--- a/libs/membership/src/membership.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "gentianlug/membership/member_record.h"
--- a/libs/net/include/gentianlug/net/http_client.h
+++ b/libs/net/include/gentianlug/net/http_client.h
@@ -44,6 +44,10 @@
   /// Gives up a request and closes its connection; `Done` does not run.
   void cancel(request_id Id);
 
+  /// Returns the bytes sent and received on all connections so far, with
+  /// headers.
+  std::uint64_t bytes() const;
+
 private:
   struct impl;
   std::unique_ptr<impl> Impl;
--- a/libs/net/include/gentianlug/net/http_server.h
+++ b/libs/net/include/gentianlug/net/http_server.h
@@ -6,6 +6,7 @@
 #include "gentianlug/net/http_message.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -60,6 +61,10 @@
   /// Closes the listening socket; open connections go on.
   void stopListening();
 
+  /// Returns the bytes sent and received on all connections so far, with
+  /// headers.
+  std::uint64_t bytes() const;
+
 private:
   struct impl;
   std::unique_ptr<impl> Impl;
--- a/libs/net/src/detail/evhttp_convert.cpp
+++ b/libs/net/src/detail/evhttp_convert.cpp
@@ -18,6 +18,20 @@
     {EVHTTP_REQ_PATCH, "PATCH"},
 };
 
+static void addReceived(evbuffer *, const evbuffer_cb_info *Info,
+                        void *Argument) {
+  *static_cast<std::uint64_t *>(Argument) += Info->n_added;
+}
+
+static void addSent(evbuffer *, const evbuffer_cb_info *Info, void *Argument) {
+  *static_cast<std::uint64_t *>(Argument) += Info->n_deleted;
+}
+
+void countBytes(bufferevent *Stream, std::uint64_t &Bytes) {
+  evbuffer_add_cb(bufferevent_get_input(Stream), addReceived, &Bytes);
+  evbuffer_add_cb(bufferevent_get_output(Stream), addSent, &Bytes);
+}
+
 const char *methodName(evhttp_cmd_type Method) {
   for (const method_row &Row : Methods)
     if (Row.Method == Method)
--- a/libs/net/src/detail/evhttp_convert.h
+++ b/libs/net/src/detail/evhttp_convert.h
@@ -3,7 +3,9 @@
 
 #include "gentianlug/net/http_message.h"
 
+#include <cstdint>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <optional>
@@ -30,6 +32,10 @@
     evhttp_add_header(List, Name.c_str(), Value.c_str());
 }
 
+/// Adds the bytes that \p Stream receives and sends to \p Bytes, which must
+/// outlive it.
+void countBytes(bufferevent *Stream, std::uint64_t &Bytes);
+
 const char *methodName(evhttp_cmd_type Method);
 std::optional<evhttp_cmd_type> methodByName(const std::string &Name);
 
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -41,6 +41,7 @@
   event_loop &Loop;
   http_client_limits Limits;
   request_id NextId = 1;
+  std::uint64_t Bytes = 0;
   std::unordered_map<request_id, std::unique_ptr<call>> Calls;
   std::map<address, std::vector<connection>> Idle;
 
@@ -55,6 +56,7 @@
         Loop.base(), nullptr, nullptr, Peer.Host.c_str(), Peer.Port);
     evhttp_connection_set_timeout(Fresh, ConnectionTimeoutSeconds);
     evhttp_connection_set_max_body_size(Fresh, ev_ssize_t(Limits.MaxBodyBytes));
+    detail::countBytes(evhttp_connection_get_bufferevent(Fresh), Bytes);
     return connection(Fresh);
   }
 
@@ -132,7 +134,7 @@
 };
 
 http_client::http_client(event_loop &Loop, http_client_limits Limits)
-    : Impl(new impl{Loop, Limits, 1, {}, {}}) {}
+    : Impl(new impl{Loop, Limits, 1, 0, {}, {}}) {}
 
 http_client::~http_client() {
   for (auto &[Id, Call] : Impl->Calls)
@@ -189,4 +191,6 @@
   Impl->Loop.defer([Kept = std::shared_ptr<impl::call>(std::move(Call))] {});
 }
 
+std::uint64_t http_client::bytes() const { return Impl->Bytes; }
+
 } // namespace gentianlug::net
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -67,8 +67,17 @@
   evhttp *Http = nullptr;
   evhttp_bound_socket *Socket = nullptr;
   handler Handler;
+  std::uint64_t Bytes = 0;
   std::unordered_set<http_exchange::impl *> Pending;
 
+  /// Makes the stream of an accepted connection.
+  static bufferevent *makeStream(event_base *Base, void *Argument) {
+    bufferevent *Stream = bufferevent_socket_new(Base, -1, 0);
+    if (Stream)
+      detail::countBytes(Stream, static_cast<impl *>(Argument)->Bytes);
+    return Stream;
+  }
+
   static void onRequest(evhttp_request *Raw, void *Argument) {
     auto *Server = static_cast<impl *>(Argument);
     auto Exchange = std::make_shared<http_exchange::impl>();
@@ -98,6 +107,7 @@
       Impl->Http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                       EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
                       EVHTTP_REQ_PATCH);
+  evhttp_set_bevcb(Impl->Http, &impl::makeStream, Impl.get());
   evhttp_set_gencb(Impl->Http, &impl::onRequest, Impl.get());
 }
 
@@ -124,4 +134,6 @@
     evhttp_del_accept_socket(Impl->Http, std::exchange(Impl->Socket, nullptr));
 }
 
+std::uint64_t http_server::bytes() const { return Impl->Bytes; }
+
 } // namespace gentianlug::net
--- a/libs/node/include/gentianlug/node/control_task.h
+++ b/libs/node/include/gentianlug/node/control_task.h
@@ -18,11 +18,17 @@
   struct outputs {
     std::function<void(std::shared_ptr<const routing_snapshot>)> Routing;
     std::function<void(task_report)> Report;
+    /// Evidence that other nodes sent for a rollout that this node controls.
+    std::function<void(rollout::server_evidence)> Evidence;
+    std::function<void(rollout_view)> Rollouts;
   };
 
   control_task(settings::node_settings Settings, outputs Outputs);
   ~control_task() override;
 
+  /// Opens the control listener. Call it before `start`.
+  result<void> listen();
+
   net::mailbox<server_announced> &announcements();
   net::mailbox<stop_request> &stops();
 
--- /dev/null
+++ b/libs/node/src/control_context.h
@@ -0,0 +1,34 @@
+#ifndef GENTIANLUG_NODE_CONTROL_CONTEXT_H
+#define GENTIANLUG_NODE_CONTROL_CONTEXT_H
+
+#include "gentianlug/core/clock.h"
+#include "gentianlug/core/random.h"
+#include "gentianlug/distribution/node_state.h"
+#include "gentianlug/net/event_loop.h"
+#include "gentianlug/observe/metrics.h"
+#include "gentianlug/platform/object_store.h"
+#include "gentianlug/settings/node_settings.h"
+
+namespace gentianlug::node {
+
+/// What the parts of the control task share. All run in its thread.
+struct control_context {
+  net::event_loop &Loop;
+  const clock &Clock;
+  generator &Gen;
+  observe::metric_set &Metrics;
+  const settings::node_settings &Settings;
+  distribution::node_state &State;
+  platform::object_store &Platform;
+  incarnation_number Incarnation;
+
+  distribution::peer_identity self() const {
+    return {Settings.Node, Settings.Zone, Incarnation, Settings.ControlListen};
+  }
+
+  steady_time now() const { return Clock.steadyNow(); }
+};
+
+} // namespace gentianlug::node
+
+#endif // GENTIANLUG_NODE_CONTROL_CONTEXT_H
--- /dev/null
+++ b/libs/node/src/control_listener.cpp
@@ -0,0 +1,247 @@
+#include "control_listener.h"
+
+#include "gentianlug/observe/log.h"
+#include "gentianlug/wire/control_messages.h"
+#include "gentianlug/wire/rollout_values.h"
+
+namespace gentianlug::node {
+
+using namespace distribution;
+using observe::event;
+using observe::logEvent;
+using std::chrono::milliseconds;
+
+/// How long a parent holds a poll of a child without news.
+static constexpr milliseconds ChildHold{1000};
+
+/// How long a root relay holds a poll of another one.
+static constexpr milliseconds RelayHold{3000};
+
+/// Changes within this time travel in one answer.
+static constexpr milliseconds FlushDelay{20};
+
+/// Resolution of holds and of the detection of missing children.
+static constexpr milliseconds TickPeriod{200};
+
+/// Polls that wait at a time: children, other root relays, and room for nodes
+/// that change their parent. Further polls are refused.
+static constexpr std::size_t MaxWaitingPolls = 256;
+
+/// A peer without a poll for this time is forgotten.
+static constexpr milliseconds PollerMemory{10000};
+
+control_listener::control_listener(control_context &Context, outputs Outputs)
+    : Context(Context), Outputs(std::move(Outputs)),
+      Server(
+          Context.Loop, {},
+          [this](const net::http_exchange &Exchange) { onRequest(Exchange); }),
+      FlushTimer(Context.Loop, [this] { flush(); }),
+      TickTimer(Context.Loop, [this] { tick(); }),
+      Children(Context.Settings.Node) {}
+
+result<void> control_listener::listen() {
+  TickTimer.startEvery(TickPeriod);
+  return Server.listen(Context.Settings.ControlListen);
+}
+
+void control_listener::refuse(const net::http_exchange &Exchange, int Status,
+                              const std::string &Reason) {
+  logEvent(event::BadRequest, Exchange.request().Target + ": " + Reason);
+  Context.Metrics.count("gentianlug_control_refused_total{status=\"" +
+                        std::to_string(Status) + "\"}");
+  Exchange.reply(net::errorResponse(Status, Reason));
+}
+
+void control_listener::onRequest(const net::http_exchange &Exchange) {
+  const net::http_request &Request = Exchange.request();
+  std::string_view Path = net::pathOf(Request.Target);
+  bool Post = Request.Method == "POST";
+  if (Path == "/v1/sync" && Post)
+    return onSync(Exchange);
+  if (Path == "/v1/up" && Post)
+    return onUp(Exchange);
+  if (Path == "/v1/attach" && Post)
+    return onAttach(Exchange);
+  if (Path == "/v1/evidence" && Post)
+    return onEvidence(Exchange);
+  if (Path == "/v1/relays")
+    return onRelays(Exchange);
+  refuse(Exchange, 404, "unknown path");
+}
+
+/// A node may use a name only from the address that the live owner of the name
+/// has, so that two nodes cannot overwrite each other's records.
+bool control_listener::checkName(const net::http_exchange &Exchange,
+                                 const peer_identity &From) {
+  const membership::member_record *Known =
+      Context.State.members().find(From.Node);
+  bool Live = Known && Known->State != membership::member_state::Suspect &&
+              Known->State != membership::member_state::Left;
+  if (From.Node != Context.Settings.Node &&
+      (!Live || Known->ControlAddress == From.Control))
+    return true;
+  refuse(Exchange, 409,
+         "the name " + From.Node.str() + " belongs to another live node");
+  return false;
+}
+
+bool control_listener::needsSnapshot(const sync_request &Request) {
+  poller &Poller = Pollers[Request.From.Node];
+  std::uint64_t Own = Context.State.members().digest();
+  bool UpToDate = Request.Cursor == Context.State.head();
+  bool Same = Request.Digest == Poller.Digest && Own == Poller.OwnDigest;
+  bool Differs = UpToDate && Request.Digest != Own;
+  Poller.Differing = Differs && Same ? Poller.Differing + 1 : 0;
+  Poller.Digest = Request.Digest;
+  Poller.OwnDigest = Own;
+  Poller.LastSeen = Context.now();
+  Poller.Zone = Request.From.Zone;
+  Poller.IsRelay = Request.Role == sync_role::Relay;
+  Poller.Report = Request.Report;
+  if (Poller.Differing < DifferingPolls)
+    return false;
+  Poller.Differing = 0;
+  Context.Metrics.count("gentianlug_control_repairs_total");
+  return true;
+}
+
+void control_listener::onSync(const net::http_exchange &Exchange) {
+  auto Request = wire::decodeSyncRequest(Exchange.request().Body);
+  if (!Request)
+    return refuse(Exchange, 400, Request.failure().message());
+  if (!checkName(Exchange, Request->From))
+    return;
+  if (Polls.size() >= MaxWaitingPolls)
+    return refuse(Exchange, 503, "too many waiting polls");
+  steady_time Now = Context.now();
+  if (Request->Role == sync_role::Child && !Children.onPoll(*Request, Now))
+    return refuse(Exchange, 410, "attach first");
+  milliseconds Hold = Request->Role == sync_role::Child   ? ChildHold
+                      : Request->Role == sync_role::Relay ? RelayHold
+                                                          : milliseconds(0);
+  waiting_poll Poll{Exchange, std::move(*Request), Now + Hold};
+  bool Probe = Poll.Request.Role == sync_role::Probe;
+  Poll.SendSnapshot = !Probe && needsSnapshot(Poll.Request);
+  if (Probe || Poll.SendSnapshot || Context.State.hasNewsFor(Poll.Request))
+    return answer(Poll);
+  Polls.push_back(std::move(Poll));
+}
+
+void control_listener::answer(const waiting_poll &Poll) {
+  const sync_request &Request = Poll.Request;
+  sync_response Response;
+  Response.Update = Context.State.updateFor(Request, Poll.SendSnapshot);
+  Response.Path = Path;
+  Response.Version = Context.State.version();
+  if (Request.Role == sync_role::Child && FreeSlot &&
+      Request.From.Zone == Context.Settings.Zone) {
+    Response.FreeSlot = FreeSlot;
+    FreeSlot.reset();
+  }
+  Poll.Exchange.reply(net::jsonResponse(200, wire::encode(Response)));
+  if (Request.Role == sync_role::Child)
+    Children.onAnswered(Request.From.Node, Context.now());
+}
+
+void control_listener::onUp(const net::http_exchange &Exchange) {
+  auto Message = wire::decodeUpMessage(Exchange.request().Body);
+  if (!Message)
+    return refuse(Exchange, 400, Message.failure().message());
+  if (!checkName(Exchange, Message->From))
+    return;
+  update_outcome Outcome = Context.State.applyMembers(
+      Message->Members, update_source::Below, Context.now());
+  Exchange.reply(net::jsonResponse(200, "{}"));
+  if (Outcome.MembersChanged)
+    Outputs.Changed(Outcome);
+}
+
+void control_listener::onAttach(const net::http_exchange &Exchange) {
+  auto From = wire::decodeAttachRequest(Exchange.request().Body);
+  if (!From)
+    return refuse(Exchange, 400, From.failure().message());
+  if (!checkName(Exchange, *From))
+    return;
+  Exchange.reply(net::jsonResponse(
+      200, wire::encode(Children.attach(*From, Path, Context.now()))));
+}
+
+void control_listener::onEvidence(const net::http_exchange &Exchange) {
+  auto Evidence = wire::decodeServerEvidence(Exchange.request().Body);
+  if (!Evidence)
+    return refuse(Exchange, 400, Evidence.failure().message());
+  Outputs.Evidence(std::move(*Evidence));
+  Exchange.reply(net::jsonResponse(200, "{}"));
+}
+
+void control_listener::onRelays(const net::http_exchange &Exchange) {
+  std::vector<relay_entry> Relays;
+  for (const membership::member_record &Root : Context.State.members().roots())
+    Relays.push_back({Root.Node, Root.Zone, Root.ControlAddress});
+  Exchange.reply(net::jsonResponse(200, wire::encode(Relays)));
+}
+
+void control_listener::setPath(std::vector<node_id> Next) {
+  if (Next == Path)
+    return;
+  Path = std::move(Next);
+  // Children learn of the new path at once, so that a loop is found early.
+  for (waiting_poll &Poll : std::exchange(Polls, {}))
+    answer(Poll);
+}
+
+void control_listener::offerSlot(std::uint32_t Slot) { FreeSlot = Slot; }
+
+tree_report control_listener::relayReports(const zone_name &Zone) const {
+  tree_report Sum;
+  for (const auto &[Node, Poller] : Pollers)
+    if (Poller.IsRelay && Poller.Zone == Zone)
+      Sum.merge(Poller.Report);
+  return Sum;
+}
+
+void control_listener::onStateChanged() {
+  if (std::exchange(FlushPending, true))
+    return;
+  FlushTimer.startOnce(FlushDelay);
+}
+
+void control_listener::flush() {
+  FlushPending = false;
+  for (auto Poll = Polls.begin(); Poll != Polls.end();) {
+    if (!Context.State.hasNewsFor(Poll->Request)) {
+      ++Poll;
+      continue;
+    }
+    answer(*Poll);
+    Poll = Polls.erase(Poll);
+  }
+}
+
+void control_listener::tick() {
+  steady_time Now = Context.now();
+  for (auto Poll = Polls.begin(); Poll != Polls.end();) {
+    if (Now < Poll->Deadline) {
+      ++Poll;
+      continue;
+    }
+    answer(*Poll);
+    Poll = Polls.erase(Poll);
+  }
+  std::erase_if(Pollers, [Now](const auto &Entry) {
+    return Now - Entry.second.LastSeen >= PollerMemory;
+  });
+  bool Changed = false;
+  for (const node_id &Node : Children.removeMissing(Now)) {
+    logEvent(event::ChildMissing, Node.str());
+    Changed = Context.State.suspect(Node, Now) || Changed;
+  }
+  Changed = Context.State.expire(Now) || Changed;
+  if (!Changed)
+    return;
+  update_outcome Outcome;
+  Outcome.MembersChanged = true;
+  Outputs.Changed(Outcome);
+}
+
+} // namespace gentianlug::node
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -37,11 +37,15 @@
                  },
                  [this](task_report Report) {
                    Admin.reports().post(std::move(Report));
-                 }}) {}
+                 },
+                 [](const rollout::server_evidence &) {},
+                 [](const rollout_view &) {}}) {}
 
   result<void> listen() {
     if (auto Listening = Proxy.listen(); !Listening)
       return Listening;
+    if (auto Listening = Control.listen(); !Listening)
+      return Listening;
     return Admin.listen();
   }
 
--- /dev/null
+++ b/libs/node/src/parent_link.cpp
@@ -0,0 +1,200 @@
+#include "parent_link.h"
+
+#include "gentianlug/observe/log.h"
+#include "gentianlug/wire/control_messages.h"
+
+namespace gentianlug::node {
+
+using namespace distribution;
+using observe::event;
+using observe::logEvent;
+using std::chrono::milliseconds;
+
+static constexpr milliseconds StepPeriod{50};
+static constexpr milliseconds AttachTimeout{1000};
+
+/// A parent that holds a poll for 1 s and stays silent for 2 s is given up.
+static constexpr milliseconds PollTimeout{2000};
+
+/// The first answer holds everything, up to 10,000 records.
+static constexpr milliseconds FirstPollTimeout{8000};
+
+static constexpr milliseconds UpTimeout{2000};
+
+/// Records that change within this time go up in one message.
+static constexpr milliseconds UpDelay{10};
+static constexpr milliseconds UpRetryDelay{500};
+
+/// Records that wait to be sent up, above the size of the fleet.
+static constexpr std::size_t MaxPendingUp = 20000;
+
+/// Records of one message, to stay well below the body limit of a listener.
+static constexpr std::size_t MaxRecordsUp = 2000;
+
+parent_link::parent_link(control_context &Context, outputs Outputs)
+    : Context(Context), Outputs(std::move(Outputs)), Client(Context.Loop),
+      StepTimer(Context.Loop, [this] { step(); }),
+      UpTimer(Context.Loop, [this] { flushUp(); }),
+      Attachment(Context.Settings.Node, Context.Settings.Zone) {}
+
+void parent_link::start() {
+  if (std::exchange(Running, true))
+    return;
+  step();
+}
+
+void parent_link::stop() {
+  ++Generation;
+  Running = false;
+  StepTimer.cancel();
+  UpUnderWay = false;
+  Attachment.detach(Context.now(), milliseconds(0));
+  Cursor = {};
+  Pending.clear();
+}
+
+void parent_link::post(
+    const address &Target, const std::string &Path, std::string Body,
+    milliseconds Timeout,
+    std::function<void(const result<net::http_response> &)> Done) {
+  net::http_request Request;
+  Request.Method = "POST";
+  Request.Target = Path;
+  Request.Body = std::move(Body);
+  Client.send(Target, Request, Timeout,
+              [this, Expected = Generation,
+               Done = std::move(Done)](result<net::http_response> Answer) {
+                if (Expected != Generation)
+                  return;
+                if (Answer && Answer->Status != 200)
+                  Context.Metrics.count(
+                      "gentianlug_control_refusals_received_total");
+                Done(Answer);
+              });
+}
+
+void parent_link::step() {
+  if (!Running)
+    return;
+  attach_action Action = Attachment.next(Context.now());
+  switch (Action.Operation) {
+  case attach_operation::Wait:
+    return StepTimer.startOnce(StepPeriod);
+  case attach_operation::FindRelays:
+    return find();
+  case attach_operation::Attach:
+    return attach(Action.Target);
+  case attach_operation::Poll:
+    return poll(Action.Target);
+  }
+}
+
+void parent_link::find() {
+  if (Attachment.ownZoneSilent())
+    Outputs.OwnZoneSilent();
+  Outputs.FindRelays(
+      [this, Expected = Generation](const std::vector<relay_entry> &Relays) {
+        if (Expected != Generation)
+          return;
+        Attachment.onRelays(Relays, Context.now(), Context.Gen);
+        step();
+      });
+}
+
+void parent_link::attach(const address &Target) {
+  post(Target, "/v1/attach", wire::encode(Context.self()), AttachTimeout,
+       [this](const result<net::http_response> &Answer) {
+         auto Response =
+             Answer && Answer->Status == 200
+                 ? wire::decodeAttachResponse(Answer->Body)
+                 : result<attach_response>(Answer ? error{} : Answer.failure());
+         if (!Response)
+           Attachment.onAttachFailed(Context.now(), Context.Gen);
+         else
+           Attachment.onAttachAnswer(*Response, Context.now(), Context.Gen);
+         if (Attachment.attached()) {
+           logEvent(event::ParentAttached, Attachment.parent().str());
+           Cursor = {};
+           Outputs.PathChanged();
+           flushUp();
+         }
+         step();
+       });
+}
+
+void parent_link::poll(const address &Target) {
+  sync_request Request;
+  Request.From = Context.self();
+  Request.Cursor = Cursor;
+  Request.Version = Context.State.version();
+  Request.Refused = Context.State.refusedVersion();
+  Request.Digest = Context.State.members().digest();
+  Request.Report = Outputs.Report();
+  bool First = Cursor == log_cursor{};
+  post(Target, "/v1/sync", wire::encode(Request),
+       First ? FirstPollTimeout : PollTimeout,
+       [this](const result<net::http_response> &Answer) {
+         onPollAnswer(Answer);
+         step();
+       });
+}
+
+void parent_link::onPollAnswer(const result<net::http_response> &Answer) {
+  auto Response =
+      Answer && Answer->Status == 200
+          ? wire::decodeSyncResponse(Answer->Body)
+          : result<sync_response>(Answer ? error{} : Answer.failure());
+  if (!Response) {
+    logEvent(event::ParentLost, Attachment.parent().str() + ": " +
+                                    (Answer ? std::to_string(Answer->Status)
+                                            : Answer.failure().message()));
+    Attachment.onPollFailed(Context.now(), Context.Gen);
+    return Outputs.PathChanged();
+  }
+  Cursor = Response->Update.Cursor;
+  std::vector<node_id> Before = Attachment.parentPath();
+  Attachment.onPollAnswer(Response->Path, Context.now(), Context.Gen);
+  update_outcome Outcome = Context.State.apply(
+      Response->Update, update_source::Above, Context.now());
+  sendUp(Outcome.Missing);
+  if (Attachment.parentPath() != Before)
+    Outputs.PathChanged();
+  Outputs.Changed(Outcome);
+  if (Response->FreeSlot)
+    Outputs.SlotFree(*Response->FreeSlot);
+}
+
+void parent_link::sendUp(
+    const std::vector<membership::member_record> &Records) {
+  if (Records.empty() || !Running)
+    return;
+  for (const membership::member_record &Record : Records)
+    if (Pending.count(Record.Node) || Pending.size() < MaxPendingUp)
+      Pending[Record.Node] = Record;
+  UpTimer.startOnce(UpDelay);
+}
+
+void parent_link::flushUp() {
+  if (Pending.empty() || UpUnderWay || !Attachment.attached())
+    return;
+  up_message Message{Context.self(), {}};
+  for (const auto &[Node, Record] : Pending)
+    if (Message.Members.size() < MaxRecordsUp)
+      Message.Members.push_back(Record);
+  UpUnderWay = true;
+  post(
+      Attachment.parent(), "/v1/up", wire::encode(Message), UpTimeout,
+      [this, Sent = Message.Members](const result<net::http_response> &Answer) {
+        UpUnderWay = false;
+        bool Taken = Answer && Answer->Status == 200;
+        for (const membership::member_record &Record : Sent) {
+          auto Entry = Pending.find(Record.Node);
+          if (Taken && Entry != Pending.end() && Entry->second == Record)
+            Pending.erase(Entry);
+        }
+        if (!Pending.empty())
+          UpTimer.startOnce(Taken ? UpDelay : UpRetryDelay);
+      });
+}
+
+} // namespace gentianlug::node
--- /dev/null
+++ b/libs/node/src/relay_exchange.cpp
@@ -0,0 +1,110 @@
+#include "relay_exchange.h"
+
+#include "gentianlug/observe/log.h"
+#include "gentianlug/wire/control_messages.h"
+
+namespace gentianlug::node {
+
+using namespace distribution;
+using observe::event;
+using observe::logEvent;
+using std::chrono::milliseconds;
+
+/// Root relays hold polls of one another for 3 s.
+static constexpr milliseconds PollTimeout{4000};
+static constexpr milliseconds FirstPollTimeout{8000};
+static constexpr milliseconds RetryDelay{500};
+
+/// A relay that did not answer for this time is suspected.
+static constexpr milliseconds SilenceLimit{2000};
+
+/// Relays that are polled: 14 zones with 3 slots at design size, with room.
+static constexpr std::size_t MaxPeers = 64;
+
+relay_exchange::relay_exchange(control_context &Context, outputs Outputs)
+    : Context(Context), Outputs(std::move(Outputs)), Client(Context.Loop) {}
+
+void relay_exchange::setRelays(const std::vector<relay_entry> &Relays) {
+  std::map<node_id, std::shared_ptr<peer>> Next;
+  std::vector<node_id> Added;
+  for (const relay_entry &Relay : Relays) {
+    if (Relay.Node == Context.Settings.Node || Next.size() >= MaxPeers)
+      continue;
+    auto Known = Peers.find(Relay.Node);
+    if (Known != Peers.end() && Known->second->Relay == Relay) {
+      Next.insert(*Known);
+      continue;
+    }
+    node_id Node = Relay.Node;
+    auto Peer = std::make_shared<peer>(peer{
+        Relay, {}, net::timer(Context.Loop, [this, Node] { poll(Node); })});
+    Peer->LastAnswer = Context.now();
+    Next[Node] = std::move(Peer);
+    Added.push_back(Node);
+  }
+  Peers = std::move(Next);
+  for (const node_id &Node : Added)
+    poll(Node);
+}
+
+void relay_exchange::poll(const node_id &Node) {
+  auto Entry = Peers.find(Node);
+  if (Entry == Peers.end())
+    return;
+  std::shared_ptr<peer> Peer = Entry->second;
+  sync_request Request;
+  Request.From = Context.self();
+  Request.Role = sync_role::Relay;
+  Request.Cursor = Peer->Cursor;
+  Request.Version = Context.State.version();
+  Request.Refused = Context.State.refusedVersion();
+  Request.Digest = Context.State.members().digest();
+  Request.Report = Outputs.Report();
+  net::http_request Message;
+  Message.Method = "POST";
+  Message.Target = "/v1/sync";
+  Message.Body = wire::encode(Request);
+  bool First = Peer->Cursor == log_cursor{};
+  Client.send(Peer->Relay.Control, Message,
+              First ? FirstPollTimeout : PollTimeout,
+              [this, Peer](const result<net::http_response> &Answer) {
+                auto Current = Peers.find(Peer->Relay.Node);
+                if (Current != Peers.end() && Current->second == Peer)
+                  onAnswer(*Peer, Answer);
+              });
+}
+
+void relay_exchange::onAnswer(peer &Peer,
+                              const result<net::http_response> &Answer) {
+  if (!Answer)
+    return onFailure(Peer, Answer.failure().message());
+  if (Answer->Status != 200)
+    return onFailure(Peer, "status " + std::to_string(Answer->Status));
+  auto Response = wire::decodeSyncResponse(Answer->Body);
+  if (!Response)
+    return onFailure(Peer, Response.failure().message());
+  steady_time Now = Context.now();
+  Peer.LastAnswer = Now;
+  Peer.Lost = false;
+  Peer.Cursor = Response->Update.Cursor;
+  update_outcome Outcome =
+      Context.State.apply(Response->Update, update_source::Above, Now);
+  // Records that the other relay lacks reach it by its own poll of this one:
+  // its digest differs until then.
+  Outputs.Changed(Outcome);
+  poll(Peer.Relay.Node);
+}
+
+void relay_exchange::onFailure(peer &Peer, const std::string &Reason) {
+  steady_time Now = Context.now();
+  if (!Peer.Lost && Now - Peer.LastAnswer >= SilenceLimit) {
+    Peer.Lost = true;
+    logEvent(event::RelayPeerLost, Peer.Relay.Node.str() + ": " + Reason);
+    update_outcome Outcome;
+    Outcome.MembersChanged = Context.State.suspect(Peer.Relay.Node, Now);
+    Outputs.Changed(Outcome);
+  }
+  Peer.Retry.startOnce(RetryDelay);
+}
+
+} // namespace gentianlug::node
--- /dev/null
+++ b/libs/wire/include/gentianlug/wire/control_messages.h
@@ -0,0 +1,43 @@
+#ifndef GENTIANLUG_WIRE_CONTROL_MESSAGES_H
+#define GENTIANLUG_WIRE_CONTROL_MESSAGES_H
+
+#include "gentianlug/core/result.h"
+#include "gentianlug/distribution/sync_messages.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gentianlug::wire {
+
+// Control messages between nodes as JSON text. Each decoder checks every
+// field. Errors: `wire_errc::MalformedMessage` with path and reason.
+
+/// Most records that one message may carry.
+inline constexpr std::size_t MaxRecordsPerMessage = 25000;
+
+result<distribution::sync_request> decodeSyncRequest(std::string_view Text);
+std::string encode(const distribution::sync_request &Request);
+
+result<distribution::sync_response> decodeSyncResponse(std::string_view Text);
+std::string encode(const distribution::sync_response &Response);
+
+result<distribution::up_message> decodeUpMessage(std::string_view Text);
+std::string encode(const distribution::up_message &Message);
+
+/// Decodes the body of `POST /v1/attach`.
+result<distribution::peer_identity> decodeAttachRequest(std::string_view Text);
+std::string encode(const distribution::peer_identity &From);
+
+result<distribution::attach_response>
+decodeAttachResponse(std::string_view Text);
+std::string encode(const distribution::attach_response &Response);
+
+/// Decodes the answer to `GET /v1/relays`.
+result<std::vector<distribution::relay_entry>>
+decodeRelayList(std::string_view Text);
+std::string encode(const std::vector<distribution::relay_entry> &Relays);
+
+} // namespace gentianlug::wire
+
+#endif // GENTIANLUG_WIRE_CONTROL_MESSAGES_H
--- /dev/null
+++ b/libs/wire/src/control_messages.cpp
@@ -0,0 +1,376 @@
+#include "gentianlug/wire/control_messages.h"
+
+#include "detail/decoder.h"
+
+namespace gentianlug::wire {
+
+using namespace distribution;
+using membership::member_record;
+using membership::member_state;
+using nlohmann::json;
+using settings::object_reader;
+
+// Field names are short, because a snapshot of a full-size fleet has 10,000
+// records and an idle poll has little else than names.
+
+static constexpr const char *StateNames[] = {"no_server", "serving", "draining",
+                                             "suspect", "left"};
+static constexpr const char *RoleNames[] = {"child", "relay", "probe"};
+static constexpr const char *VerdictNames[] = {"admitted", "redirected",
+                                               "refused"};
+
+template <class Enum, std::size_t Count>
+static Enum readName(object_reader &Reader, const std::string &Key,
+                     const char *const (&Names)[Count]) {
+  std::string Text = Reader.text(Key);
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    if (Text == Names[Index])
+      return Enum(Index);
+  Reader.faults().add(Reader.pathOf(Key), "is not a known name");
+  return Enum(0);
+}
+
+/// Reads an optional list at \p Key.
+template <class T>
+static std::vector<T> readOptionalList(object_reader &Reader,
+                                       const std::string &Key,
+                                       T (*Read)(object_reader &)) {
+  std::vector<T> Items = detail::readList(Reader, Key, Read);
+  if (Items.size() > MaxRecordsPerMessage) {
+    Reader.faults().add(Reader.pathOf(Key), "has too many records");
+    Items.clear();
+  }
+  return Items;
+}
+
+static std::vector<node_id> readNodes(object_reader &Reader,
+                                      const std::string &Key) {
+  std::vector<node_id> Nodes;
+  const json *Array = Reader.array(Key);
+  if (!Array)
+    return Nodes;
+  for (const json &Item : *Array) {
+    if (Item.is_string() && !Item.get_ref<const std::string &>().empty())
+      Nodes.emplace_back(Item.get<std::string>());
+    else
+      Reader.faults().add(Reader.pathOf(Key), "must hold names");
+  }
+  return Nodes;
+}
+
+static json nodesToJson(const std::vector<node_id> &Nodes) {
+  json Array = json::array();
+  for (const node_id &Node : Nodes)
+    Array.push_back(Node.str());
+  return Array;
+}
+
+static peer_identity readIdentity(object_reader &Reader) {
+  peer_identity From;
+  From.Node = node_id(Reader.text("node"));
+  From.Zone = zone_name(Reader.text("zone"));
+  From.Incarnation = detail::readUnsigned(Reader, "life");
+  From.Control = Reader.endpoint("control");
+  return From;
+}
+
+static json toJson(const peer_identity &From) {
+  return {{"node", From.Node.str()},
+          {"zone", From.Zone.str()},
+          {"life", From.Incarnation},
+          {"control", From.Control.str()}};
+}
+
+static member_record readRecord(object_reader &Reader) {
+  member_record Record;
+  Record.Node = node_id(Reader.text("node"));
+  Record.Zone = zone_name(Reader.text("zone"));
+  Record.PeerAddress = Reader.endpoint("peer");
+  Record.ControlAddress = Reader.endpoint("control");
+  Record.Service = service_name(Reader.text("service", ""));
+  Record.Version = version_name(Reader.text("version", ""));
+  Record.Slots = std::uint32_t(Reader.number("slots", 0, UINT32_MAX, 0));
+  Record.ServerIncarnation = detail::readUnsigned(Reader, "server_life", 0);
+  Record.Incarnation = detail::readUnsigned(Reader, "life");
+  Record.Sequence = detail::readUnsigned(Reader, "seq");
+  Record.State = readName<member_state>(Reader, "state", StateNames);
+  Record.Parent = node_id(Reader.text("parent", ""));
+  return Record;
+}
+
+static json toJson(const member_record &Record) {
+  json Json{{"node", Record.Node.str()},
+            {"zone", Record.Zone.str()},
+            {"peer", Record.PeerAddress.str()},
+            {"control", Record.ControlAddress.str()},
+            {"life", Record.Incarnation},
+            {"seq", Record.Sequence},
+            {"state", StateNames[unsigned(Record.State)]}};
+  if (!Record.Parent.empty())
+    Json["parent"] = Record.Parent.str();
+  if (Record.Service.empty())
+    return Json;
+  Json["service"] = Record.Service.str();
+  Json["version"] = Record.Version.str();
+  Json["slots"] = Record.Slots;
+  Json["server_life"] = Record.ServerIncarnation;
+  return Json;
+}
+
+static json recordsToJson(const std::vector<member_record> &Records) {
+  json Array = json::array();
+  for (const member_record &Record : Records)
+    Array.push_back(toJson(Record));
+  return Array;
+}
+
+static log_cursor readCursor(object_reader &Reader) {
+  return {detail::readUnsigned(Reader, "epoch", 0),
+          detail::readUnsigned(Reader, "number", 0)};
+}
+
+/// One row of the count of nodes by version.
+struct version_row {
+  config_version Version = 0;
+  std::uint32_t Nodes = 0;
+};
+
+static version_row readVersionRow(object_reader &Reader) {
+  version_row Row;
+  Row.Version = detail::readUnsigned(Reader, "v");
+  Row.Nodes = std::uint32_t(Reader.number("n", 0, 1000000));
+  return Row;
+}
+
+static refusal_report readRefusal(object_reader &Reader) {
+  refusal_report Refusal;
+  Refusal.Node = node_id(Reader.text("node"));
+  Refusal.Version = detail::readUnsigned(Reader, "version");
+  Refusal.Reason = Reader.text("reason", "none given");
+  return Refusal;
+}
+
+static tree_report readReport(object_reader &Reader) {
+  tree_report Report;
+  tree_report Row;
+  for (const version_row &Count :
+       detail::readList(Reader, "versions", readVersionRow)) {
+    Row.NodesByVersion = {{Count.Version, Count.Nodes}};
+    Report.merge(Row);
+  }
+  Row.NodesByVersion.clear();
+  Row.Refusals = detail::readList(Reader, "refusals", readRefusal);
+  Report.merge(Row);
+  return Report;
+}
+
+static void addReport(json &Json, const tree_report &Report) {
+  for (const auto &[Version, Nodes] : Report.NodesByVersion)
+    Json["versions"].push_back({{"v", Version}, {"n", Nodes}});
+  for (const refusal_report &Refusal : Report.Refusals)
+    Json["refusals"].push_back({{"node", Refusal.Node.str()},
+                                {"version", Refusal.Version},
+                                {"reason", Refusal.Reason}});
+}
+
+static sync_request readSyncRequest(object_reader &Reader) {
+  sync_request Request;
+  Request.From = readIdentity(Reader);
+  Request.Role = readName<sync_role>(Reader, "role", RoleNames);
+  Request.Cursor = readCursor(Reader);
+  Request.Version = detail::readUnsigned(Reader, "config", 0);
+  Request.Refused = detail::readUnsigned(Reader, "refused", 0);
+  Request.Digest = detail::readUnsigned(Reader, "digest", 0);
+  Request.Report = readReport(Reader);
+  return Request;
+}
+
+result<sync_request> decodeSyncRequest(std::string_view Text) {
+  return detail::decodeObject(Text, "sync request", readSyncRequest);
+}
+
+std::string encode(const sync_request &Request) {
+  json Json = toJson(Request.From);
+  Json["role"] = RoleNames[unsigned(Request.Role)];
+  Json["epoch"] = Request.Cursor.Epoch;
+  Json["number"] = Request.Cursor.Number;
+  Json["config"] = Request.Version;
+  if (Request.Refused)
+    Json["refused"] = Request.Refused;
+  Json["digest"] = Request.Digest;
+  addReport(Json, Request.Report);
+  return Json.dump();
+}
+
+static part_patch readPatch(object_reader &Reader) {
+  part_patch Patch;
+  Patch.Name = Reader.text("name");
+  Patch.Hash = Reader.text("hash");
+  Patch.KeepFront = detail::readUnsigned(Reader, "front", 0);
+  Patch.KeepBack = detail::readUnsigned(Reader, "back", 0);
+  Patch.Insert = Reader.text("insert", "");
+  return Patch;
+}
+
+static config_update readConfig(object_reader &Reader) {
+  config_update Update;
+  Update.Version = detail::readUnsigned(Reader, "version");
+  Update.RootHash = Reader.text("root");
+  Update.Base = detail::readUnsigned(Reader, "base", 0);
+  Update.Changed = detail::readList(Reader, "changed", readPatch);
+  for (node_id &Name : readNodes(Reader, "removed"))
+    Update.Removed.push_back(std::move(Name.Value));
+  return Update;
+}
+
+static json toJson(const config_update &Update) {
+  json Json{{"version", Update.Version}, {"root", Update.RootHash}};
+  if (Update.Base)
+    Json["base"] = Update.Base;
+  for (const part_patch &Patch : Update.Changed)
+    Json["changed"].push_back({{"name", Patch.Name},
+                               {"hash", Patch.Hash},
+                               {"front", Patch.KeepFront},
+                               {"back", Patch.KeepBack},
+                               {"insert", Patch.Insert}});
+  for (const std::string &Name : Update.Removed)
+    Json["removed"].push_back(Name);
+  return Json;
+}
+
+static live_value readLive(object_reader &Reader) {
+  live_value Value;
+  Value.Key = Reader.text("key");
+  Value.Revision = detail::readUnsigned(Reader, "revision");
+  if (!Reader.flag("deleted", false))
+    Value.Text = Reader.text("text", "");
+  return Value;
+}
+
+static json toJson(const live_value &Value) {
+  json Json{{"key", Value.Key}, {"revision", Value.Revision}};
+  if (Value.Text)
+    Json["text"] = *Value.Text;
+  else
+    Json["deleted"] = true;
+  return Json;
+}
+
+static sync_response readSyncResponse(object_reader &Reader) {
+  sync_response Response;
+  state_update &Update = Response.Update;
+  Update.Cursor = readCursor(Reader);
+  Update.Snapshot = Reader.flag("snapshot", false);
+  Update.Members = readOptionalList(Reader, "members", readRecord);
+  Update.Live = readOptionalList(Reader, "live", readLive);
+  if (const json *Config = Reader.object("config")) {
+    object_reader Item(*Config, Reader.pathOf("config"), Reader.faults());
+    Update.Config = readConfig(Item);
+  }
+  Response.Path = readNodes(Reader, "path");
+  Response.Version = detail::readUnsigned(Reader, "version", 0);
+  std::int64_t Slot = Reader.number("free_slot", -1, 1000, -1);
+  if (Slot >= 0)
+    Response.FreeSlot = std::uint32_t(Slot);
+  return Response;
+}
+
+result<sync_response> decodeSyncResponse(std::string_view Text) {
+  return detail::decodeObject(Text, "sync response", readSyncResponse);
+}
+
+std::string encode(const sync_response &Response) {
+  const state_update &Update = Response.Update;
+  json Json{{"epoch", Update.Cursor.Epoch},
+            {"number", Update.Cursor.Number},
+            {"path", nodesToJson(Response.Path)},
+            {"version", Response.Version}};
+  if (Update.Snapshot)
+    Json["snapshot"] = true;
+  if (!Update.Members.empty())
+    Json["members"] = recordsToJson(Update.Members);
+  for (const live_value &Value : Update.Live)
+    Json["live"].push_back(toJson(Value));
+  if (Update.Config)
+    Json["config"] = toJson(*Update.Config);
+  if (Response.FreeSlot)
+    Json["free_slot"] = *Response.FreeSlot;
+  return Json.dump();
+}
+
+static up_message readUp(object_reader &Reader) {
+  up_message Message;
+  Message.From = readIdentity(Reader);
+  Message.Members = readOptionalList(Reader, "members", readRecord);
+  return Message;
+}
+
+result<up_message> decodeUpMessage(std::string_view Text) {
+  return detail::decodeObject(Text, "up message", readUp);
+}
+
+std::string encode(const up_message &Message) {
+  json Json = toJson(Message.From);
+  Json["members"] = recordsToJson(Message.Members);
+  return Json.dump();
+}
+
+result<peer_identity> decodeAttachRequest(std::string_view Text) {
+  return detail::decodeObject(Text, "attach request", readIdentity);
+}
+
+std::string encode(const peer_identity &From) { return toJson(From).dump(); }
+
+static attach_response readAttachResponse(object_reader &Reader) {
+  attach_response Response;
+  Response.Verdict =
+      readName<attach_response::verdict>(Reader, "verdict", VerdictNames);
+  Response.Path = readNodes(Reader, "path");
+  if (Response.Verdict == attach_response::verdict::Redirected)
+    Response.RedirectTo = Reader.endpoint("redirect");
+  Response.RetryAfter =
+      Reader.duration("retry_after_ms", std::chrono::milliseconds(0),
+                      std::chrono::milliseconds(60000),
+                      std::optional(std::chrono::milliseconds(0)));
+  return Response;
+}
+
+result<attach_response> decodeAttachResponse(std::string_view Text) {
+  return detail::decodeObject(Text, "attach response", readAttachResponse);
+}
+
+std::string encode(const attach_response &Response) {
+  json Json{{"verdict", VerdictNames[unsigned(Response.Verdict)]},
+            {"path", nodesToJson(Response.Path)},
+            {"retry_after_ms", Response.RetryAfter.count()}};
+  if (Response.Verdict == attach_response::verdict::Redirected)
+    Json["redirect"] = Response.RedirectTo.str();
+  return Json.dump();
+}
+
+static relay_entry readRelay(object_reader &Reader) {
+  relay_entry Relay;
+  Relay.Node = node_id(Reader.text("node"));
+  Relay.Zone = zone_name(Reader.text("zone"));
+  Relay.Control = Reader.endpoint("control");
+  return Relay;
+}
+
+static std::vector<relay_entry> readRelays(object_reader &Reader) {
+  return readOptionalList(Reader, "relays", readRelay);
+}
+
+result<std::vector<relay_entry>> decodeRelayList(std::string_view Text) {
+  return detail::decodeObject(Text, "relay list", readRelays);
+}
+
+std::string encode(const std::vector<relay_entry> &Relays) {
+  json Array = json::array();
+  for (const relay_entry &Relay : Relays)
+    Array.push_back({{"node", Relay.Node.str()},
+                     {"zone", Relay.Zone.str()},
+                     {"control", Relay.Control.str()}});
+  return json{{"relays", Array}}.dump();
+}
+
+} // namespace gentianlug::wire
