Split calls between two versions by autonomous rules

Entry nodes need the share of a new version without asking a controller or the platform. splitVersions gives it from configuration, state and wall time; an undecided rollout counts as taken back at its time.

--- /dev/null
+++ b/libs/rollout/tests/version_split_test.cpp
@@ -0,0 +1,71 @@
+#include "gentianlug/rollout/version_split.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::rollout;
+using namespace std::chrono_literals;
+
+TEST_GROUP(version_split) {
+  manual_clock Clock;
+  config::service Service;
+  config::rollout Rollout;
+  rollout_state State;
+
+  void setup() override {
+    Service.Name = service_name("commandes");
+    Service.Version = version_name("v1");
+    Rollout.Service = Service.Name;
+    Rollout.Version = version_name("v2");
+    Rollout.FinishBy = Clock.wallNow() + 60s;
+    State.Id = Rollout.id();
+    State.Phase = rollout_phase::Growing;
+    State.Share = 0.1;
+    State.NonIdempotentShare = 0.05;
+    State.FinishBy = Rollout.FinishBy;
+  }
+
+  double share(bool Idempotent = true) {
+    return splitVersions(Service, &Rollout, &State, Clock.wallNow(), Idempotent)
+        .NewShare;
+  }
+};
+
+// Guards against calls to a new version that no controller has allowed yet.
+TEST(version_split, nothingGoesToTheNewVersionBeforeAState) {
+  DOUBLES_EQUAL(
+      0,
+      splitVersions(Service, &Rollout, nullptr, Clock.wallNow(), true).NewShare,
+      0);
+  State.Phase = rollout_phase::Waiting;
+  DOUBLES_EQUAL(0, share(), 0);
+}
+
+// Guards against orders that get the larger share of other calls.
+TEST(version_split, nonIdempotentCallsHaveTheirOwnShare) {
+  DOUBLES_EQUAL(0.1, share(true), 0);
+  DOUBLES_EQUAL(0.05, share(false), 0);
+}
+
+// Guards against a rollout that stays undecided when controller and platform
+// are down at its time.
+TEST(version_split, undecidedRolloutCountsAsTakenBackAtItsTime) {
+  Clock.advance(59s);
+  DOUBLES_EQUAL(0.1, share(), 0);
+  Clock.advance(1s);
+  DOUBLES_EQUAL(0, share(), 0);
+  State.Phase = rollout_phase::Paused;
+  DOUBLES_EQUAL(0, share(), 0);
+  State.Phase = rollout_phase::Done;
+  DOUBLES_EQUAL(1, share(), 0);
+}
+
+// Guards against a version that returns to service after it was taken back,
+// and against a new rollout that inherits the share of the one before.
+TEST(version_split, stateOfAnotherRolloutIsIgnored) {
+  State.Phase = rollout_phase::TakenBack;
+  DOUBLES_EQUAL(0, share(), 0);
+  State.Phase = rollout_phase::Done;
+  Rollout.FinishBy += 60s;
+  DOUBLES_EQUAL(0, share(), 0);
+}
