Judge a new version by sequential tests per route and signal

A rollout needs a verdict that may be asked for at any time without raising the rate of false alarms. Each route has three signals; each block of 250 ms gives the e-value of a two-sample test with a convex null hypothesis, and mixtures over the start time find faults that show late.

--- /dev/null
+++ b/libs/rollout/include/gentianlug/rollout/fixed_threshold_verdict.h
@@ -0,0 +1,33 @@
+#ifndef GENTIANLUG_ROLLOUT_FIXED_THRESHOLD_VERDICT_H
+#define GENTIANLUG_ROLLOUT_FIXED_THRESHOLD_VERDICT_H
+
+#include "gentianlug/rollout/verdict_policy.h"
+
+namespace gentianlug::rollout {
+
+/// Error rate of the new version that counts as a fault.
+inline constexpr double FixedErrorThreshold = 0.05;
+/// Calls before the threshold applies.
+inline constexpr std::uint64_t FixedLeastCalls = 20;
+
+/// The usual rule, kept as the baseline of the experiments: the error rate of
+/// the new version alone against a fixed threshold.
+class fixed_threshold_verdict final : public verdict_policy {
+public:
+  void start(verdict_scope Scope) override;
+  void add(rollout_side Side, const server_evidence &Evidence) override;
+  verdict judge() override;
+  double oldErrorRate() const override;
+
+private:
+  struct counts {
+    std::uint64_t Calls = 0;
+    std::uint64_t Errors = 0;
+  };
+  counts Old;
+  counts New;
+};
+
+} // namespace gentianlug::rollout
+
+#endif // GENTIANLUG_ROLLOUT_FIXED_THRESHOLD_VERDICT_H
--- /dev/null
+++ b/libs/rollout/src/sequential_verdict.cpp
@@ -0,0 +1,87 @@
+#include "gentianlug/rollout/sequential_verdict.h"
+
+#include "detail/route_test.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace gentianlug::rollout {
+
+using detail::route_test;
+
+static constexpr double SignalsPerRoute = 3;
+
+/// A route with a smaller part of the old version's calls does not keep the
+/// share from growing, because its refutation would take too long.
+static constexpr double RelevantPart = 0.02;
+
+struct sequential_verdict::impl {
+  std::map<route_name, route_test> Routes;
+
+  double relevantCalls() const {
+    double Sum = 0;
+    for (const auto &[Name, Route] : Routes)
+      Sum += Route.oldCalls();
+    return Sum * RelevantPart;
+  }
+
+  verdict_kind growth() const {
+    double Least = relevantCalls();
+    bool Any = false;
+    for (const auto &[Name, Route] : Routes) {
+      if (Route.suspect())
+        return verdict_kind::Undecided;
+      if (Route.oldCalls() <= Least)
+        continue;
+      if (!Route.refuted())
+        return verdict_kind::Undecided;
+      Any = true;
+    }
+    return Any ? verdict_kind::MayGrow : verdict_kind::Undecided;
+  }
+};
+
+sequential_verdict::sequential_verdict() : Impl(std::make_unique<impl>()) {}
+sequential_verdict::~sequential_verdict() = default;
+
+void sequential_verdict::start(verdict_scope Scope) {
+  double Signals =
+      SignalsPerRoute * double(std::max<std::size_t>(1, Scope.Routes.size()));
+  double LogThreshold = std::log(Signals / Scope.FalseAlarmRate);
+  double Judgements =
+      std::max(1.0, std::ceil(std::chrono::duration<double>(Scope.Horizon) /
+                              JudgementPeriod));
+  Impl->Routes.clear();
+  for (const route_name &Route : Scope.Routes)
+    Impl->Routes.emplace(Route, route_test(LogThreshold, 1 / Judgements));
+}
+
+void sequential_verdict::add(rollout_side Side,
+                             const server_evidence &Evidence) {
+  for (const route_evidence &Calls : Evidence.Routes)
+    if (auto Found = Impl->Routes.find(Calls.Route);
+        Found != Impl->Routes.end())
+      Found->second.add(Side, Calls);
+}
+
+verdict sequential_verdict::judge() {
+  for (auto &[Name, Route] : Impl->Routes) {
+    Route.closeBlock();
+    if (std::string Fault = Route.fault(); !Fault.empty())
+      return {verdict_kind::Bad, "route " + Name.str() + ": " + Fault};
+  }
+  return {Impl->growth(), ""};
+}
+
+double sequential_verdict::oldErrorRate() const {
+  double Calls = 0;
+  double Errors = 0;
+  for (const auto &[Name, Route] : Impl->Routes) {
+    Calls += Route.oldCalls();
+    Errors += Route.oldErrors();
+  }
+  return Calls > 0 ? Errors / Calls : 0;
+}
+
+} // namespace gentianlug::rollout
--- /dev/null
+++ b/libs/rollout/tests/traffic.h
@@ -0,0 +1,44 @@
+#ifndef GENTIANLUG_ROLLOUT_TESTS_TRAFFIC_H
+#define GENTIANLUG_ROLLOUT_TESTS_TRAFFIC_H
+
+#include "gentianlug/core/random.h"
+#include "gentianlug/rollout/evidence.h"
+
+#include <cmath>
+
+namespace gentianlug::rollout {
+
+/// How a version behaves on one route.
+struct behaviour {
+  double ErrorRate = 0;
+  std::chrono::microseconds MedianLatency{5000};
+  /// Standard deviation of the logarithm of the latency.
+  double Spread = 0.4;
+};
+
+/// Draws the calls of one route in one period.
+inline route_evidence drawCalls(generator &Gen, const char *Route,
+                                std::uint32_t Calls, const behaviour &How) {
+  route_evidence Evidence;
+  Evidence.Route = route_name(Route);
+  Evidence.Calls = Calls;
+  std::lognormal_distribution<double> Latency(
+      std::log(double(How.MedianLatency.count())), How.Spread);
+  for (std::uint32_t Call = 0; Call < Calls; ++Call) {
+    if (drawChance(Gen, How.ErrorRate))
+      ++Evidence.Errors;
+    else
+      ++Evidence.Latencies[latencyBucket(
+          std::chrono::microseconds(long(Latency(Gen))))];
+  }
+  return Evidence;
+}
+
+/// Draws a count around \p Mean.
+inline std::uint32_t drawCount(generator &Gen, double Mean) {
+  return std::uint32_t(std::poisson_distribution<int>(Mean)(Gen));
+}
+
+} // namespace gentianlug::rollout
+
+#endif // GENTIANLUG_ROLLOUT_TESTS_TRAFFIC_H
