--- a/libs/net/include/gentianlug/net/event_loop.h
+++ b/libs/net/include/gentianlug/net/event_loop.h
@@ -23,7 +23,8 @@
   void stop();
 
   /// Runs \p Action in the next round of the loop. Call it from the thread of
-  /// the loop; for objects that cannot be freed inside their own callback.
+  /// the loop; for objects that cannot be freed inside their own callback. An
+  /// action that has not run when the loop goes is destroyed with it.
   void defer(std::function<void()> Action);
 
   event_base *base() const { return Base.get(); }
@@ -32,7 +33,10 @@
   struct base_deleter {
     void operator()(event_base *Base) const;
   };
+  struct deferred;
+
   std::unique_ptr<event_base, base_deleter> Base;
+  std::unique_ptr<deferred> Deferred;
 };
 
 } // namespace gentianlug::net
--- a/libs/net/src/event_loop.cpp
+++ b/libs/net/src/event_loop.cpp
@@ -9,6 +9,7 @@
 
 #include <event2/event.h>
 #include <event2/thread.h>
+#include <utility>
 #include <vector>
 
 namespace gentianlug::net {
@@ -32,36 +33,6 @@
   return {Time.count() / MicrosPerSecond, Time.count() % MicrosPerSecond};
 }
 
-event_loop::event_loop() {
-  // Must run before the first base, so that signals from other threads lock.
-  static const int ThreadsReady = evthread_use_pthreads();
-  (void)ThreadsReady;
-  Base.reset(event_base_new());
-}
-
-event_loop::~event_loop() = default;
-
-void event_loop::base_deleter::operator()(event_base *Base) const {
-  event_base_free(Base);
-}
-
-void event_loop::run() { event_base_loop(Base.get(), EVLOOP_NO_EXIT_ON_EMPTY); }
-
-void event_loop::stop() { event_base_loopbreak(Base.get()); }
-
-void event_loop::defer(std::function<void()> Action) {
-  auto *Kept = new std::function<void()>(std::move(Action));
-  timeval Now{0, 0};
-  event_base_once(
-      Base.get(), -1, EV_TIMEOUT,
-      [](evutil_socket_t, short, void *Argument) {
-        std::unique_ptr<std::function<void()>> Action(
-            static_cast<std::function<void()> *>(Argument));
-        (*Action)();
-      },
-      Kept, &Now);
-}
-
 namespace {
 
 /// An event of libevent with the action that it runs.
@@ -83,6 +54,47 @@
 
 } // namespace
 
+/// Actions for the next round of a loop.
+struct event_loop::deferred {
+  std::vector<std::function<void()>> Actions;
+  action_event Event;
+
+  explicit deferred(event_base *Base) : Event(Base, 0, [this] { run(); }) {}
+
+  void add(std::function<void()> Action) {
+    Actions.push_back(std::move(Action));
+    timeval Now{0, 0};
+    event_add(Event.Event, &Now);
+  }
+
+  void run() {
+    for (auto &Action : std::exchange(Actions, {}))
+      Action();
+  }
+};
+
+event_loop::event_loop() {
+  // Must run before the first base, so that signals from other threads lock.
+  static const int ThreadsReady = evthread_use_pthreads();
+  (void)ThreadsReady;
+  Base.reset(event_base_new());
+  Deferred = std::make_unique<deferred>(Base.get());
+}
+
+event_loop::~event_loop() = default;
+
+void event_loop::base_deleter::operator()(event_base *Base) const {
+  event_base_free(Base);
+}
+
+void event_loop::run() { event_base_loop(Base.get(), EVLOOP_NO_EXIT_ON_EMPTY); }
+
+void event_loop::stop() { event_base_loopbreak(Base.get()); }
+
+void event_loop::defer(std::function<void()> Action) {
+  Deferred->add(std::move(Action));
+}
+
 struct timer::impl {
   event_loop &Loop;
   std::function<void()> Action;
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -68,7 +68,8 @@
 
   /// A connection cannot be freed inside a callback of its own request.
   void discard(connection Connection) {
-    Loop.defer([Raw = Connection.release()] { evhttp_connection_free(Raw); });
+    Loop.defer(
+        [Kept = std::shared_ptr<evhttp_connection>(std::move(Connection))] {});
   }
 
   std::unique_ptr<call> take(request_id Id) {
