--- a/libs/rollout/include/gentianlug/rollout/evidence.h
+++ b/libs/rollout/include/gentianlug/rollout/evidence.h
@@ -37,12 +37,14 @@
   service_name Service;
   version_name Version;
   incarnation_number ServerIncarnation = 0;
-  /// Number of the period within the life of the node; repeated reports are
-  /// ignored.
+  /// Rises with each report of the node, also over its restarts; repeated and
+  /// late reports are ignored.
   std::uint64_t Sequence = 0;
   /// Calls that the server may run at a time now, and at most when warm.
   std::uint32_t Allowance = 0;
   std::uint32_t FullAllowance = 0;
+  /// Whether the node has cut its server off for strong evidence of its own.
+  bool Cut = false;
   std::vector<route_evidence> Routes;
 
   bool operator==(const server_evidence &) const = default;
--- a/libs/rollout/include/gentianlug/rollout/rollout_state.h
+++ b/libs/rollout/include/gentianlug/rollout/rollout_state.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLUG_ROLLOUT_ROLLOUT_STATE_H
 #define GENTIANLUG_ROLLOUT_ROLLOUT_STATE_H
 
+#include "gentianlug/core/address.h"
 #include "gentianlug/core/clock.h"
 #include "gentianlug/core/ids.h"
 
@@ -33,6 +34,15 @@
   wall_time FinishBy;
   /// Fencing token of the controller that wrote the state.
   std::uint64_t Epoch = 0;
+  /// Control listener of the controller, the receiver of evidence.
+  address Controller;
+  /// Controllers that have steered this rollout so far. Each starts a verdict
+  /// of its own with a part of the false alarm rate.
+  std::uint32_t Controllers = 0;
+  /// Version of the configuration that the controller acted on.
+  config_version ConfigVersion = 0;
+  /// Error rate of the old version, for the local guard.
+  double OldErrorRate = 0;
   std::string Reason;
   std::string WriteId;
 
--- a/libs/wire/src/rollout_values.cpp
+++ b/libs/wire/src/rollout_values.cpp
@@ -29,6 +29,13 @@
   State.NonIdempotentShare = Reader.fraction("non_idempotent_share", 0, 1);
   State.FinishBy = detail::readWallTime(Reader, "finish_by_ms");
   State.Epoch = detail::readUnsigned(Reader, "epoch");
+  if (!Reader.text("controller", "").empty())
+    State.Controller = Reader.endpoint("controller");
+  State.Controllers =
+      std::uint32_t(Reader.number("controllers", 0, UINT32_MAX, 0));
+  State.ConfigVersion =
+      std::uint64_t(Reader.number("config_version", 0, INT64_MAX, 0));
+  State.OldErrorRate = Reader.fraction("old_error_rate", 0, 1, 0);
   State.Reason = Reader.text("reason", "");
   State.WriteId = Reader.text("write_id", "");
   return State;
@@ -39,16 +46,21 @@
 }
 
 std::string encode(const rollout::rollout_state &State) {
-  return json{{"id", State.Id},
-              {"service", State.Service.str()},
-              {"version", State.Version.str()},
-              {"phase", PhaseNames[unsigned(State.Phase)]},
-              {"share", State.Share},
-              {"non_idempotent_share", State.NonIdempotentShare},
-              {"finish_by_ms", detail::wallTimeCount(State.FinishBy)},
-              {"epoch", State.Epoch},
-              {"reason", State.Reason},
-              {"write_id", State.WriteId}}
+  return json{
+      {"id", State.Id},
+      {"service", State.Service.str()},
+      {"version", State.Version.str()},
+      {"phase", PhaseNames[unsigned(State.Phase)]},
+      {"share", State.Share},
+      {"non_idempotent_share", State.NonIdempotentShare},
+      {"finish_by_ms", detail::wallTimeCount(State.FinishBy)},
+      {"epoch", State.Epoch},
+      {"controller", State.Controller.Port == 0 ? "" : State.Controller.str()},
+      {"controllers", State.Controllers},
+      {"config_version", State.ConfigVersion},
+      {"old_error_rate", State.OldErrorRate},
+      {"reason", State.Reason},
+      {"write_id", State.WriteId}}
       .dump();
 }
 
@@ -90,6 +102,7 @@
   Evidence.Allowance = std::uint32_t(Reader.number("allowance", 0, UINT32_MAX));
   Evidence.FullAllowance =
       std::uint32_t(Reader.number("full_allowance", 0, UINT32_MAX));
+  Evidence.Cut = Reader.flag("cut", false);
   Evidence.Routes = detail::readList(Reader, "routes", readRoute);
   return Evidence;
 }
@@ -112,6 +125,7 @@
               {"sequence", Evidence.Sequence},
               {"allowance", Evidence.Allowance},
               {"full_allowance", Evidence.FullAllowance},
+              {"cut", Evidence.Cut},
               {"routes", Routes}}
       .dump();
 }
--- a/libs/wire/tests/rollout_values_test.cpp
+++ b/libs/wire/tests/rollout_values_test.cpp
@@ -18,6 +18,10 @@
   State.NonIdempotentShare = 0.025;
   State.FinishBy = wall_time(std::chrono::seconds(1));
   State.Epoch = 3;
+  State.Controller = {"127.0.0.1", 7003};
+  State.Controllers = 2;
+  State.ConfigVersion = 9;
+  State.OldErrorRate = 0.25;
   auto Decoded = decodeRolloutState(encode(State));
   CHECK(bool(Decoded));
   CHECK(State == *Decoded);
@@ -29,6 +33,7 @@
   Evidence.Node = node_id("n");
   Evidence.Service = service_name("s");
   Evidence.Version = version_name("v");
+  Evidence.Cut = true;
   Evidence.Routes.push_back({route_name("r"), 2, 1, {}});
   std::string Text = encode(Evidence);
   auto Decoded = decodeServerEvidence(Text);
