Drive the lease decision from scenario scripts under a set clock

Cause: the promises under pauses and outages have to be proved by scripts with the same verdict on every run, without processes.

--- a/bench/src/lua_runtime.cpp
+++ b/bench/src/lua_runtime.cpp
@@ -2,6 +2,7 @@
 
 #include "gentianlug/settings/json_file.h"
 #include "lua_json.h"
+#include "worlds/world.h"
 
 #include <arpa/inet.h>
 #include <fstream>
@@ -196,6 +197,7 @@
   lua_register(Lua, "json_encode", encodeJson);
   lua_register(Lua, "write_file", writeFile);
   lua_register(Lua, "read_file", readFile);
+  openWorlds(Lua);
   pushJson(Lua, {{"seed", Options.Seed},
                  {"nodes", Options.Nodes},
                  {"binaries", Options.BinaryFolder},
--- a/bench/src/lua_runtime.h
+++ b/bench/src/lua_runtime.h
@@ -31,6 +31,7 @@
 /// - `json_decode(text)`, `json_encode(value)`
 /// - `now_ms()`, `sleep_ms(ms)`, `free_port()`, `draw(low, high)`
 /// - `write_file(path, text)`, `read_file(path)`
+/// - the worlds of `worlds/`: decision libraries under a set clock
 class lua_runtime {
 public:
   explicit lua_runtime(run_options Options);
