Report every fault of a compile with file, line and path

A compile stopped at the first malformed file, named merged entries by number and both files at once, and an overlay could remove an entry that the base lacked. Deeply nested input overflowed the stack when it was copied.

Files are read into documents with a position index; shapes are checked before the merge, lists merge by name with an index, and each fault names the file and line that gives the value. Checks of the whole configuration cover calls between services, deadlines, regions and finish times.

--- a/libs/config/include/gentianlug/config/compile.h
+++ b/libs/config/include/gentianlug/config/compile.h
@@ -4,7 +4,10 @@
 #include "gentianlug/config/model.h"
 #include "gentianlug/core/result.h"
 
+#include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace gentianlug::config {
 
@@ -14,16 +17,49 @@
   std::string Text;
 };
 
-/// Merges the overlay of a site into the base and checks the result.
+/// What is wrong with one place of one file.
+struct compile_fault {
+  std::string File;
+  std::uint32_t Line = 1;
+  /// Effective path, for example `services.commandes.limits.slots`; empty for
+  /// the whole file.
+  std::string Path;
+  std::string Reason;
+
+  /// Returns "FILE:LINE: PATH: REASON".
+  std::string str() const;
+
+  auto operator<=>(const compile_fault &) const = default;
+};
+
+/// What one compile reads.
+struct compile_input {
+  source_file Base;
+  std::vector<std::pair<site_name, source_file>> Overlays;
+  /// New rollouts must finish after this time.
+  wall_time Now;
+  /// Ids of the rollouts in force; their times are not checked again.
+  std::set<std::string> RolloutsInForce;
+};
+
+/// The sites that compiled, in the order of the overlays, and every fault.
+struct compile_output {
+  std::vector<site_configuration> Sites;
+  std::vector<compile_fault> Faults;
+};
+
+/// Merges each overlay into the base and checks the results.
 ///
-/// The overlay has the shape of the base and names only what differs: objects
-/// merge by key, lists of named entries merge by name, an entry with
-/// `"remove": true` is removed, other values replace.
+/// \returns every fault of all files, each once, sorted by file and line. A
+/// configuration may be accepted only when there is none.
+///
+/// Complexity: n log n in the size of the files.
+compile_output compileAll(const compile_input &Input);
+
+/// Compiles one site.
 ///
-/// \param Site name of the site that the overlay belongs to.
-/// \param Now rollouts must finish after this time.
-/// \returns the configuration, or `config_errc::InvalidConfiguration` or
-/// `settings_errc::MalformedJson` with all faults, one a line.
+/// \returns the configuration, or `config_errc::InvalidConfiguration` with all
+/// faults, one a line.
 result<site_configuration> compileSite(const site_name &Site,
                                        const source_file &Base,
                                        const source_file &Overlay,
--- a/libs/config/include/gentianlug/config/config_errc.h
+++ b/libs/config/include/gentianlug/config/config_errc.h
@@ -12,6 +12,7 @@
   MissingPart = 303,
   HashMismatch = 304,
   MalformedPart = 305,
+  UnknownPath = 306,
 };
 
 std::error_code make_error_code(config_errc Code);
--- a/libs/config/include/gentianlug/config/model.h
+++ b/libs/config/include/gentianlug/config/model.h
@@ -55,6 +55,8 @@
   version_name Version;
   server_limits Limits;
   retry_rules Retries;
+  /// Services that this service calls, for the check against cycles.
+  std::vector<service_name> Calls = {};
 
   bool operator==(const service &) const = default;
 };
--- a/libs/config/src/compile.cpp
+++ b/libs/config/src/compile.cpp
@@ -1,91 +1,80 @@
 #include "gentianlug/config/compile.h"
 
 #include "detail/json_model.h"
+#include "detail/merge.h"
+#include "detail/source_document.h"
 #include "gentianlug/config/check.h"
 #include "gentianlug/config/config_errc.h"
-#include "gentianlug/settings/json_file.h"
+#include "gentianlug/config/parts.h"
+
+#include <algorithm>
 
 namespace gentianlug::config {
 
-using nlohmann::json;
+using detail::source_document;
 
-/// Returns the key that identifies entries of a list: rollouts have one entry
-/// a service, all other lists have names.
-static const char *entryKey(const std::string &Section) {
-  return Section == "rollouts" ? "service" : "name";
+std::string compile_fault::str() const {
+  std::string Where = File + ":" + std::to_string(Line) + ": ";
+  return Path.empty() ? Where + Reason : Where + Path + ": " + Reason;
 }
 
-static json *findEntry(json &List, const char *Key, const json &Name) {
-  for (json &Entry : List)
-    if (Entry.is_object() && Entry.contains(Key) && Entry[Key] == Name)
-      return &Entry;
-  return nullptr;
+/// Returns the fault at the file that gives the value, the overlay first.
+static compile_fault locate(const source_document &Base,
+                            const source_document &Overlay,
+                            const settings::fault &Fault) {
+  bool InOverlay = Overlay.lineOf(Fault.Path) ||
+                   (!Base.lineOf(Fault.Path) && Overlay.mentions(Fault.Path) &&
+                    !Base.mentions(Fault.Path));
+  const source_document &Source = InOverlay ? Overlay : Base;
+  return {Source.path(), Source.nearestLine(Fault.Path), Fault.Path,
+          Fault.Reason};
 }
 
-static void mergeValue(json &Base, const json &Overlay,
-                       const std::string &Section);
-
-static void mergeList(json &Base, const json &Overlay,
-                      const std::string &Section) {
-  const char *Key = entryKey(Section);
-  for (const json &Entry : Overlay) {
-    bool Named = Entry.is_object() && Entry.contains(Key);
-    json *Match = Named ? findEntry(Base, Key, Entry[Key]) : nullptr;
-    if (!Match)
-      Base.push_back(Entry);
-    else if (Entry.value("remove", json(false)) == json(true))
-      Base.erase(Base.begin() + (Match - &*Base.begin()));
-    else
-      mergeValue(*Match, Entry, Section);
-  }
+static void compileOne(const site_name &Site, const source_document &Base,
+                       const source_document &Overlay,
+                       const compile_input &Input, compile_output &Output) {
+  nlohmann::json Merged = detail::mergeDocuments(Base, Overlay, Output.Faults);
+  Merged["site"] = Site.str();
+  settings::fault_list Faults("");
+  settings::object_reader Reader(Merged, "", Faults);
+  site_configuration Configuration = detail::readConfiguration(Reader);
+  auto Add = [&](const std::vector<config_fault> &Found) {
+    for (const config_fault &Fault : Found)
+      Faults.add(Fault.Path, Fault.Reason);
+  };
+  Add(checkWhole(Configuration));
+  Add(checkFinishTimes(Configuration, Input.Now, Input.RolloutsInForce));
+  Add(checkSizes(Configuration));
+  for (const settings::fault &Fault : Faults.list())
+    Output.Faults.push_back(locate(Base, Overlay, Fault));
+  Output.Sites.push_back(std::move(Configuration));
 }
 
-static void mergeValue(json &Base, const json &Overlay,
-                       const std::string &Section) {
-  if (Base.is_object() && Overlay.is_object()) {
-    for (const auto &Item : Overlay.items())
-      mergeValue(Base[Item.key()], Item.value(), Item.key());
-    return;
-  }
-  if (Base.is_array() && Overlay.is_array()) {
-    mergeList(Base, Overlay, Section);
-    return;
+compile_output compileAll(const compile_input &Input) {
+  compile_output Output;
+  source_document Base(Input.Base, Output.Faults);
+  for (const auto &[Site, File] : Input.Overlays) {
+    source_document Overlay(File, Output.Faults);
+    compileOne(Site, Base, Overlay, Input, Output);
   }
-  Base = Overlay;
-}
-
-static void checkFinishTimes(const site_configuration &Configuration,
-                             wall_time Now, settings::fault_list &Faults) {
-  for (const rollout &Rollout : Configuration.Rollouts)
-    if (Rollout.FinishBy <= Now)
-      Faults.add("rollouts." + Rollout.Service.str() + ".finish_by",
-                 "has passed");
+  // Every site repeats the faults of the base.
+  std::sort(Output.Faults.begin(), Output.Faults.end());
+  Output.Faults.erase(std::unique(Output.Faults.begin(), Output.Faults.end()),
+                      Output.Faults.end());
+  return Output;
 }
 
 result<site_configuration> compileSite(const site_name &Site,
                                        const source_file &Base,
                                        const source_file &Overlay,
                                        wall_time Now) {
-  auto Merged = settings::parseJson(Base.Text, Base.Path);
-  if (!Merged)
-    return Merged.failure();
-  auto Changes = settings::parseJson(Overlay.Text, Overlay.Path);
-  if (!Changes)
-    return Changes.failure();
-  mergeValue(*Merged, *Changes, "");
-  if (Merged->is_object())
-    (*Merged)["site"] = Site.str();
-
-  settings::fault_list Faults(Base.Path + " + " + Overlay.Path);
-  settings::object_reader Reader(*Merged, "", Faults);
-  site_configuration Configuration = detail::readConfiguration(Reader);
-  for (const std::string &Fault : checkWhole(Configuration))
-    Faults.add("whole configuration", Fault);
-  checkFinishTimes(Configuration, Now, Faults);
-  if (!Faults.empty())
-    return makeError(config_errc::InvalidConfiguration,
-                     Faults.toError().Detail);
-  return Configuration;
+  compile_output Output = compileAll({Base, {{Site, Overlay}}, Now, {}});
+  if (Output.Faults.empty())
+    return std::move(Output.Sites.front());
+  std::string Text;
+  for (const compile_fault &Fault : Output.Faults)
+    Text += (Text.empty() ? "" : "\n") + Fault.str();
+  return makeError(config_errc::InvalidConfiguration, Text);
 }
 
 } // namespace gentianlug::config
--- a/libs/config/src/detail/json_model.cpp
+++ b/libs/config/src/detail/json_model.cpp
@@ -1,6 +1,7 @@
 #include "detail/json_model.h"
 
 #include <algorithm>
+#include <cctype>
 #include <ctime>
 
 namespace gentianlug::config::detail {
@@ -11,6 +12,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+static constexpr std::size_t MaxNameLength = 63;
+static constexpr std::size_t MaxPathLength = 1024;
+static constexpr std::size_t MaxCalls = 100;
+
 static constexpr const char *PriorityNames[] = {"low", "normal", "high"};
 
 static call_priority readPriority(object_reader &Reader) {
@@ -28,7 +33,9 @@
   std::string Text = Reader.text(Key);
   std::tm Fields{};
   const char *End = strptime(Text.c_str(), "%Y-%m-%dT%H:%M:%SZ", &Fields);
-  if (End && *End == '\0')
+  // The clock counts nanoseconds in 64 bits, which reach to the year 2262.
+  bool InRange = Fields.tm_year >= 70 && Fields.tm_year < 300;
+  if (End && *End == '\0' && InRange)
     return std::chrono::system_clock::from_time_t(timegm(&Fields));
   Reader.faults().add(Reader.pathOf(Key),
                       "must be a UTC time of the form 2026-12-04T18:00:00Z");
@@ -44,16 +51,29 @@
   return Text;
 }
 
+/// Reads a name, which becomes part of paths and of platform keys.
+static std::string readName(object_reader &Reader, const std::string &Key) {
+  std::string Text = Reader.text(Key);
+  bool Plain = Text.size() <= MaxNameLength &&
+               std::all_of(Text.begin(), Text.end(), [](unsigned char C) {
+                 return std::isalnum(C) || C == '-' || C == '_';
+               });
+  if (!Plain)
+    Reader.faults().add(Reader.pathOf(Key),
+                        "must have at most 63 letters, digits, - or _");
+  return Plain ? Text : std::string();
+}
+
 static availability_zone readZone(object_reader &Reader) {
   availability_zone Zone;
-  Zone.Name = zone_name(Reader.text("name"));
-  Zone.Region = region_name(Reader.text("region"));
+  Zone.Name = zone_name(readName(Reader, "name"));
+  Zone.Region = region_name(Reader.text("region", ""));
   return Zone;
 }
 
 static customer readCustomer(object_reader &Reader) {
   customer Customer;
-  Customer.Name = customer_name(Reader.text("name"));
+  Customer.Name = customer_name(readName(Reader, "name"));
   Customer.Share = std::uint32_t(Reader.number("share", 1, 1000, 1));
   return Customer;
 }
@@ -83,9 +103,26 @@
   return Rules;
 }
 
+static std::vector<service_name> readCalls(object_reader &Reader) {
+  std::vector<service_name> Calls;
+  const nlohmann::json *Array = Reader.array("calls");
+  if (!Array)
+    return Calls;
+  if (Array->size() > MaxCalls)
+    Reader.faults().add(Reader.pathOf("calls"), "has more than 100 services");
+  for (const nlohmann::json &Name : *Array) {
+    if (Name.is_string())
+      Calls.emplace_back(Name.get<std::string>());
+    else
+      Reader.faults().add(Reader.pathOf("calls"),
+                          "must hold names of services");
+  }
+  return Calls;
+}
+
 static service readService(object_reader &Reader) {
   service Service;
-  Service.Name = service_name(Reader.text("name"));
+  Service.Name = service_name(readName(Reader, "name"));
   Service.Version = version_name(Reader.text("version"));
   if (const auto *Json = Reader.object("limits")) {
     object_reader Limits(*Json, Reader.pathOf("limits"), Reader.faults());
@@ -95,15 +132,18 @@
     object_reader Retries(*Json, Reader.pathOf("retries"), Reader.faults());
     Service.Retries = readRetries(Retries);
   }
+  Service.Calls = readCalls(Reader);
   return Service;
 }
 
 static route readRoute(object_reader &Reader) {
   route Route;
-  Route.Name = route_name(Reader.text("name"));
+  Route.Name = route_name(readName(Reader, "name"));
   Route.PathPrefix = Reader.text("path");
   if (!Route.PathPrefix.empty() && Route.PathPrefix.front() != '/')
     Reader.faults().add(Reader.pathOf("path"), "must start with /");
+  if (Route.PathPrefix.size() > MaxPathLength)
+    Reader.faults().add(Reader.pathOf("path"), "is longer than 1024 bytes");
   Route.Service = service_name(Reader.text("service"));
   Route.Idempotent = Reader.flag("idempotent", false);
   Route.Deadline =
@@ -117,7 +157,7 @@
 
 static rollout readRollout(object_reader &Reader) {
   rollout Rollout;
-  Rollout.Service = service_name(Reader.text("service"));
+  Rollout.Service = service_name(readName(Reader, "service"));
   Rollout.Version = version_name(Reader.text("version"));
   Rollout.FinishBy = readTime(Reader, "finish_by");
   Rollout.MaxShareBeforeVerdict =
@@ -125,6 +165,27 @@
   return Rollout;
 }
 
+const char *entryKey(const std::string &Section) {
+  static constexpr const char *Named[] = {"availability_zones", "customers",
+                                          "services", "routes"};
+  if (Section == "rollouts")
+    return "service";
+  for (const char *Name : Named)
+    if (Section == Name)
+      return "name";
+  return nullptr;
+}
+
+/// Paths name entries rather than count them, as operators do.
+static std::string entryPath(const std::string &List,
+                             const std::string &Section, std::size_t Index,
+                             const nlohmann::json &Entry) {
+  auto Name = Entry.is_object() ? Entry.find(entryKey(Section)) : Entry.end();
+  if (Entry.is_object() && Name != Entry.end() && Name->is_string())
+    return List + "." + Name->get<std::string>();
+  return List + "[" + std::to_string(Index) + "]";
+}
+
 template <class Entry>
 static std::vector<Entry> readList(object_reader &Reader,
                                    const std::string &Key,
@@ -135,7 +196,8 @@
     return Entries;
   Entries.reserve(Array->size());
   for (std::size_t Index = 0; Index < Array->size(); ++Index) {
-    std::string Path = Reader.pathOf(Key) + "[" + std::to_string(Index) + "]";
+    std::string Path =
+        entryPath(Reader.pathOf(Key), Key, Index, (*Array)[Index]);
     object_reader Item((*Array)[Index], Path, Reader.faults());
     Entries.push_back(Read(Item));
     Item.finish();
@@ -184,17 +246,20 @@
 
 nlohmann::json toJson(const service &Service) {
   const server_limits &Limits = Service.Limits;
-  return {{"name", Service.Name.str()},
-          {"version", Service.Version.str()},
-          {"limits",
-           {{"slots", Limits.Slots},
-            {"connections", Limits.Connections},
-            {"queue_length", Limits.QueueLength},
-            {"connect_cost_us", Limits.ConnectCost.count()},
-            {"probe_cost_us", Limits.ProbeCost.count()}}},
-          {"retries",
-           {{"max_tries", Service.Retries.MaxTries},
-            {"budget", Service.Retries.Budget}}}};
+  nlohmann::json Json{{"name", Service.Name.str()},
+                      {"version", Service.Version.str()},
+                      {"limits",
+                       {{"slots", Limits.Slots},
+                        {"connections", Limits.Connections},
+                        {"queue_length", Limits.QueueLength},
+                        {"connect_cost_us", Limits.ConnectCost.count()},
+                        {"probe_cost_us", Limits.ProbeCost.count()}}},
+                      {"retries",
+                       {{"max_tries", Service.Retries.MaxTries},
+                        {"budget", Service.Retries.Budget}}}};
+  for (const service_name &Callee : Service.Calls)
+    Json["calls"].push_back(Callee.str());
+  return Json;
 }
 
 nlohmann::json toJson(const route &Route) {
@@ -214,4 +279,26 @@
           {"max_share_before_verdict", Rollout.MaxShareBeforeVerdict}};
 }
 
+template <class Entries>
+static nlohmann::json listByName(const std::string &Section,
+                                 const Entries &List) {
+  nlohmann::json Json = nlohmann::json::object();
+  for (const auto &Entry : List) {
+    nlohmann::json Item = toJson(Entry);
+    std::string Name = Item[entryKey(Section)].template get<std::string>();
+    Json[Name] = std::move(Item);
+  }
+  return Json;
+}
+
+nlohmann::json toJsonByName(const site_configuration &Configuration) {
+  return {{"zone_round_trip_us", Configuration.ZoneRoundTrip.count()},
+          {"availability_zones",
+           listByName("availability_zones", Configuration.Zones)},
+          {"customers", listByName("customers", Configuration.Customers)},
+          {"services", listByName("services", Configuration.Services)},
+          {"routes", listByName("routes", Configuration.Routes)},
+          {"rollouts", listByName("rollouts", Configuration.Rollouts)}};
+}
+
 } // namespace gentianlug::config::detail
--- /dev/null
+++ b/libs/config/src/detail/merge.h
@@ -0,0 +1,20 @@
+#ifndef GENTIANLUG_CONFIG_DETAIL_MERGE_H
+#define GENTIANLUG_CONFIG_DETAIL_MERGE_H
+
+#include "detail/source_document.h"
+
+namespace gentianlug::config::detail {
+
+/// Merges an overlay into a base by the rules of docs/configuration.md.
+///
+/// \param Faults receives what the overlay states that the base cannot take.
+/// \returns the merged document.
+///
+/// Complexity: linear in the size of both documents.
+nlohmann::json mergeDocuments(const source_document &Base,
+                              const source_document &Overlay,
+                              std::vector<compile_fault> &Faults);
+
+} // namespace gentianlug::config::detail
+
+#endif // GENTIANLUG_CONFIG_DETAIL_MERGE_H
--- a/libs/config/src/parts.cpp
+++ b/libs/config/src/parts.cpp
@@ -31,27 +31,79 @@
   return Array;
 }
 
+namespace {
+
+/// Collects the entries of shards and cuts shards that grow too large.
+class part_cutter {
+public:
+  template <class Entry>
+  void add(const char *List, const Entry &Item, const service_name &Service) {
+    json Json = detail::toJson(Item);
+    std::size_t Bytes = Json.dump().size() + 1;
+    shard &Shard = Shards[shardName(Service)];
+    if (Shard.Bytes + Bytes > MaxPartBytes - ListOverhead) {
+      Shard.Full.push_back(std::move(Shard.Current));
+      Shard.Current = json::object();
+      Shard.Bytes = 0;
+    }
+    Shard.Bytes += Bytes;
+    Shard.Current[List].push_back(std::move(Json));
+  }
+
+  part_map finish() {
+    part_map Parts;
+    for (auto &[Name, Shard] : Shards) {
+      Shard.Full.push_back(std::move(Shard.Current));
+      for (std::size_t Index = 0; Index < Shard.Full.size(); ++Index)
+        Parts.emplace(Index == 0 ? Name : Name + "." + std::to_string(Index),
+                      makePart(Shard.Full[Index]));
+    }
+    return Parts;
+  }
+
+private:
+  /// Bytes for the names and brackets of the three lists.
+  static constexpr std::size_t ListOverhead = 100;
+
+  struct shard {
+    std::vector<json> Full;
+    json Current = json::object();
+    std::size_t Bytes = 0;
+  };
+  std::map<std::string, shard> Shards;
+};
+
+} // namespace
+
 part_map cutIntoParts(const site_configuration &Configuration) {
-  std::map<std::string, json> Shards;
+  part_cutter Cutter;
   for (const service &Service : Configuration.Services)
-    Shards[shardName(Service.Name)]["services"].push_back(
-        detail::toJson(Service));
+    Cutter.add("services", Service, Service.Name);
   for (const route &Route : Configuration.Routes)
-    Shards[shardName(Route.Service)]["routes"].push_back(detail::toJson(Route));
+    Cutter.add("routes", Route, Route.Service);
   for (const rollout &Rollout : Configuration.Rollouts)
-    Shards[shardName(Rollout.Service)]["rollouts"].push_back(
-        detail::toJson(Rollout));
-  Shards["site"] = {{"site", Configuration.Site.str()},
-                    {"zone_round_trip_us", Configuration.ZoneRoundTrip.count()},
-                    {"availability_zones", listToJson(Configuration.Zones)},
-                    {"customers", listToJson(Configuration.Customers)}};
-
-  part_map Parts;
-  for (const auto &[Name, Json] : Shards)
-    Parts.emplace(Name, makePart(Json));
+    Cutter.add("rollouts", Rollout, Rollout.Service);
+  part_map Parts = Cutter.finish();
+  Parts.emplace(
+      "site",
+      makePart({{"site", Configuration.Site.str()},
+                {"zone_round_trip_us", Configuration.ZoneRoundTrip.count()},
+                {"availability_zones", listToJson(Configuration.Zones)},
+                {"customers", listToJson(Configuration.Customers)}}));
   return Parts;
 }
 
+std::vector<config_fault> checkSizes(const site_configuration &Configuration) {
+  std::size_t Bytes = listToJson(Configuration.Customers).dump().size() +
+                      listToJson(Configuration.Zones).dump().size();
+  if (Bytes + 200 <= MaxPartBytes)
+    return {};
+  return {{"customers", "customers and zones take " + std::to_string(Bytes) +
+                            " bytes, more than the " +
+                            std::to_string(MaxPartBytes) +
+                            " that one platform object holds"}};
+}
+
 part_hashes hashesOf(const part_map &Parts) {
   part_hashes Hashes;
   for (const auto &[Name, Part] : Parts)
@@ -96,8 +148,8 @@
   settings::fault_list Faults("accepted configuration");
   settings::object_reader Reader(*Whole, "", Faults);
   site_configuration Configuration = detail::readConfiguration(Reader);
-  for (const std::string &Fault : checkWhole(Configuration))
-    Faults.add("whole configuration", Fault);
+  for (const config_fault &Fault : checkWhole(Configuration))
+    Faults.add(Fault.Path, Fault.Reason);
   if (!Faults.empty())
     return makeError(config_errc::InvalidConfiguration,
                      Faults.toError().Detail);
--- a/libs/settings/include/gentianlug/settings/json_file.h
+++ b/libs/settings/include/gentianlug/settings/json_file.h
@@ -12,6 +12,10 @@
 /// Largest settings or configuration file that is read, in bytes.
 inline constexpr std::size_t MaxFileBytes = 8 << 20;
 
+/// Deepest nesting of containers that is parsed. Copying a document recurses
+/// once per level, so unbounded nesting would overflow the stack.
+inline constexpr std::size_t MaxNesting = 64;
+
 /// Reads a whole file.
 ///
 /// \returns the text, or `settings_errc::UnreadableFile` with path and reason.
--- a/libs/settings/include/gentianlug/settings/object_reader.h
+++ b/libs/settings/include/gentianlug/settings/object_reader.h
@@ -14,6 +14,12 @@
 
 namespace gentianlug::settings {
 
+/// What is wrong with the value at one path.
+struct fault {
+  std::string Path;
+  std::string Reason;
+};
+
 /// Collects every fault of one file, as "FILE: PATH: REASON".
 class fault_list {
 public:
@@ -21,14 +27,14 @@
 
   void add(const std::string &Path, const std::string &Reason);
   bool empty() const { return Faults.empty(); }
-  const std::vector<std::string> &list() const { return Faults; }
+  const std::vector<fault> &list() const { return Faults; }
 
   /// Returns `settings_errc::BadField` with all faults, one a line.
   error toError() const;
 
 private:
   std::string File;
-  std::vector<std::string> Faults;
+  std::vector<fault> Faults;
 };
 
 /// Reads the fields of one JSON object with type and range checks.
--- a/libs/settings/src/json_file.cpp
+++ b/libs/settings/src/json_file.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/settings/json_file.h"
 
+#include "detail/json_text.h"
 #include "gentianlug/core/error_table.h"
 #include "gentianlug/settings/settings_errc.h"
 
@@ -39,6 +40,10 @@
 
 result<nlohmann::json> parseJson(std::string_view Text,
                                  const std::string &Path) {
+  if (detail::nestsDeeperThan(Text, MaxNesting))
+    return makeError(settings_errc::MalformedJson,
+                     Path + ": nested more than " + std::to_string(MaxNesting) +
+                         " levels deep");
   // The parser reports position and reason only through its exception.
   try {
     return nlohmann::json::parse(Text, nullptr, true, true);
--- a/libs/settings/src/object_reader.cpp
+++ b/libs/settings/src/object_reader.cpp
@@ -5,13 +5,14 @@
 namespace gentianlug::settings {
 
 void fault_list::add(const std::string &Path, const std::string &Reason) {
-  Faults.push_back(File + ": " + Path + ": " + Reason);
+  Faults.push_back({Path, Reason});
 }
 
 error fault_list::toError() const {
   std::string Joined;
-  for (const std::string &Fault : Faults)
-    Joined += (Joined.empty() ? "" : "\n") + Fault;
+  for (const fault &Fault : Faults)
+    Joined += (Joined.empty() ? "" : "\n") + File + ": " + Fault.Path + ": " +
+              Fault.Reason;
   return makeError(settings_errc::BadField, Joined);
 }
 
