--- a/libs/net/include/gentianlug/net/net_errc.h
+++ b/libs/net/include/gentianlug/net/net_errc.h
@@ -16,6 +16,9 @@
   ConnectionLost = 604,
   AnswerTooLarge = 605,
   Canceled = 606,
+  /// The end of the connection would be the only end of the body, so that a
+  /// cut body would pass as whole.
+  AnswerWithoutLength = 607,
 };
 
 std::error_code make_error_code(net_errc Code);
--- a/libs/net/src/event_loop.cpp
+++ b/libs/net/src/event_loop.cpp
@@ -20,6 +20,7 @@
     {int(net_errc::ConnectionLost), "connection lost before the whole answer"},
     {int(net_errc::AnswerTooLarge), "answer too large"},
     {int(net_errc::Canceled), "request canceled"},
+    {int(net_errc::AnswerWithoutLength), "answer without a length"},
 };
 
 std::error_code make_error_code(net_errc Code) {
--- a/libs/net/tests/http_test.cpp
+++ b/libs/net/tests/http_test.cpp
@@ -3,6 +3,7 @@
 #include "gentianlug/net/http_server.h"
 #include "gentianlug/net/mailbox.h"
 #include "gentianlug/net/net_errc.h"
+#include "test_listener.h"
 
 #include <CppUTest/TestHarness.h>
 #include <optional>
@@ -12,8 +13,6 @@
 using namespace gentianlug::net;
 using namespace std::chrono_literals;
 
-static const address Listen{"127.0.0.1", 28431};
-
 TEST_GROUP(http) {
   event_loop Loop;
   std::optional<result<http_response>> Answer;
@@ -36,7 +35,7 @@
     Response.Body = Exchange.request().Body + "!";
     Exchange.reply(Response);
   });
-  CHECK(bool(Server.listen(Listen)));
+  address Listen = listenOnFreePort(Server);
   http_client Client(Loop);
   http_request Request;
   Request.Method = "POST";
@@ -56,7 +55,7 @@
   CHECK(Answer->failure().Code == make_error_code(net_errc::ConnectFailed));
   http_server Server(Loop, {},
                      [](http_exchange Exchange) { Exchange.abort(); });
-  CHECK(bool(Server.listen(Listen)));
+  address Listen = listenOnFreePort(Server);
   exchange(Client, Listen, {}, 5s);
   CHECK(Answer->failure().Code == make_error_code(net_errc::ConnectionLost));
 }
@@ -66,7 +65,7 @@
   std::optional<http_exchange> Held;
   http_server Server(
       Loop, {}, [&](http_exchange Exchange) { Held = std::move(Exchange); });
-  CHECK(bool(Server.listen(Listen)));
+  address Listen = listenOnFreePort(Server);
   http_client Client(Loop);
   exchange(Client, Listen, {}, 20ms);
   CHECK(Answer->failure().Code == make_error_code(net_errc::Timeout));
@@ -75,7 +74,7 @@
 TEST(http, ListenReportsAPortInUse) {
   http_server First(Loop, {}, [](http_exchange) {});
   http_server Second(Loop, {}, [](http_exchange) {});
-  CHECK(bool(First.listen(Listen)));
+  address Listen = listenOnFreePort(First);
   CHECK_FALSE(bool(Second.listen(Listen)));
 }
 
