Judge writes of the head and plan garbage collection

A lost answer was recognised only while the head had not moved on, and nothing removed old objects. The head now keeps the last 10 accepted versions; judgeWrite tells accepted, lost, repeatable and unknown apart, and planCollection removes an object after an hour of marks on one revision. Times beyond the clock's range are refused instead of overflowing.

--- a/libs/platform/include/gentianlug/platform/config_head.h
+++ b/libs/platform/include/gentianlug/platform/config_head.h
@@ -7,9 +7,22 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace gentianlug::platform {
 
+/// One accepted version: what it holds, and who accepted it.
+struct accepted_version {
+  config_version Version = 0;
+  std::string ManifestHash;
+  std::string Author;
+  std::string Reason;
+  wall_time AcceptedAt;
+  std::string WriteId;
+
+  bool operator==(const accepted_version &) const = default;
+};
+
 /// Value of `live/config`: the newest accepted version.
 struct config_head {
   config_version Version = 0;
@@ -18,6 +31,10 @@
   std::string Reason;
   wall_time AcceptedAt;
   std::string WriteId;
+  /// Versions accepted before, newest first; see `KeptVersions`.
+  std::vector<accepted_version> Earlier = {};
+
+  bool operator==(const config_head &) const = default;
 };
 
 /// Parts of one site within a version.
--- a/libs/platform/include/gentianlug/platform/keys.h
+++ b/libs/platform/include/gentianlug/platform/keys.h
@@ -14,10 +14,12 @@
 inline constexpr const char *ZonesKey = "live/zones";
 inline constexpr const char *RolloutPrefix = "live/rollout/";
 inline constexpr const char *StatusPrefix = "status/";
+inline constexpr const char *ContentPrefix = "object/";
+inline constexpr const char *GarbageMarksKey = "gc/marks";
 inline constexpr const char *RelayLeasePrefix = "lease/relay/";
 
 inline std::string contentKey(const std::string &Hash) {
-  return "object/" + Hash;
+  return ContentPrefix + Hash;
 }
 
 inline std::string rolloutKey(const service_name &Service) {
--- /dev/null
+++ b/libs/platform/include/gentianlug/platform/retry_schedule.h
@@ -0,0 +1,35 @@
+#ifndef GENTIANLUG_PLATFORM_RETRY_SCHEDULE_H
+#define GENTIANLUG_PLATFORM_RETRY_SCHEDULE_H
+
+#include "gentianlug/core/random.h"
+
+#include <chrono>
+#include <optional>
+
+namespace gentianlug::platform {
+
+/// Bounded retries of one call, with exponential delays and jitter.
+///
+/// Six calls with mean delays of 100, 200, 400, 800 and 1,600 ms ride out a
+/// rate limit window of one second and short outages.
+///
+/// Example: `retry_schedule Retries; while (auto Delay = Retries.next(Gen))`
+class retry_schedule {
+public:
+  static constexpr unsigned MaxRetries = 5;
+  static constexpr std::chrono::milliseconds FirstDelay{100};
+
+  /// Returns the delay before the next try, or nothing at the bound.
+  std::optional<std::chrono::milliseconds> next(generator &Gen) {
+    if (Retries == MaxRetries)
+      return std::nullopt;
+    return drawJitter(Gen, FirstDelay * (1 << Retries++));
+  }
+
+private:
+  unsigned Retries = 0;
+};
+
+} // namespace gentianlug::platform
+
+#endif // GENTIANLUG_PLATFORM_RETRY_SCHEDULE_H
--- /dev/null
+++ b/libs/platform/src/acceptance.cpp
@@ -0,0 +1,53 @@
+#include "gentianlug/platform/acceptance.h"
+
+namespace gentianlug::platform {
+
+static accepted_version withoutEarlier(const config_head &Head) {
+  return {Head.Version, Head.ManifestHash, Head.Author,
+          Head.Reason,  Head.AcceptedAt,   Head.WriteId};
+}
+
+std::vector<accepted_version> knownVersions(const config_head &Head) {
+  if (Head.Version == 0)
+    return {};
+  std::vector<accepted_version> Versions{withoutEarlier(Head)};
+  Versions.insert(Versions.end(), Head.Earlier.begin(), Head.Earlier.end());
+  return Versions;
+}
+
+config_head nextHead(const config_head &Current,
+                     const acceptance_proposal &Proposal) {
+  config_head Next;
+  Next.Version = Current.Version + 1;
+  Next.ManifestHash = Proposal.ManifestHash;
+  Next.Author = Proposal.Author;
+  Next.Reason = Proposal.Reason;
+  Next.AcceptedAt = Proposal.Now;
+  Next.WriteId = Proposal.WriteId;
+  Next.Earlier = knownVersions(Current);
+  if (Next.Earlier.size() > KeptVersions - 1)
+    Next.Earlier.resize(KeptVersions - 1);
+  return Next;
+}
+
+std::optional<accepted_version> findVersion(const config_head &Head,
+                                            config_version Version) {
+  for (accepted_version &Known : knownVersions(Head))
+    if (Known.Version == Version)
+      return std::move(Known);
+  return std::nullopt;
+}
+
+write_verdict judgeWrite(const config_head &Attempt, object_revision Expected,
+                         const observed_head &Observed) {
+  for (accepted_version &Known : knownVersions(Observed.Head))
+    if (Known.WriteId == Attempt.WriteId)
+      return {write_outcome::Accepted, std::move(Known)};
+  if (Observed.Revision == Expected)
+    return {write_outcome::MayRepeat, {}};
+  if (auto Winner = findVersion(Observed.Head, Attempt.Version))
+    return {write_outcome::LostRace, std::move(*Winner)};
+  return {write_outcome::Unknown, withoutEarlier(Observed.Head)};
+}
+
+} // namespace gentianlug::platform
--- /dev/null
+++ b/libs/platform/src/garbage.cpp
@@ -0,0 +1,26 @@
+#include "gentianlug/platform/garbage.h"
+
+namespace gentianlug::platform {
+
+collection_plan planCollection(const std::vector<stored_content> &Stored,
+                               const std::set<std::string> &Referenced,
+                               const garbage_marks &Marks, wall_time Now) {
+  collection_plan Plan;
+  for (const stored_content &Object : Stored) {
+    if (Referenced.count(Object.Key) || Plan.Marks.size() == MaxGarbageMarks)
+      continue;
+    garbage_mark Mark{Object.Revision, Now};
+    auto Earlier = Marks.find(Object.Key);
+    bool Holds = Earlier != Marks.end() &&
+                 Earlier->second.Revision == Object.Revision &&
+                 Earlier->second.Since <= Now;
+    if (Holds)
+      Mark = Earlier->second;
+    if (Now - Mark.Since >= MinUnreferencedTime)
+      Plan.Removals.push_back(Object);
+    Plan.Marks.emplace(Object.Key, Mark);
+  }
+  return Plan;
+}
+
+} // namespace gentianlug::platform
--- a/libs/wire/include/gentianlug/wire/platform_values.h
+++ b/libs/wire/include/gentianlug/wire/platform_values.h
@@ -3,6 +3,7 @@
 
 #include "gentianlug/core/result.h"
 #include "gentianlug/platform/config_head.h"
+#include "gentianlug/platform/garbage.h"
 #include "gentianlug/platform/zone_state.h"
 #include "gentianlug/platform/zone_status.h"
 
@@ -23,6 +24,9 @@
 result<platform::zone_state> decodeZoneState(std::string_view Text);
 std::string encode(const platform::zone_state &State);
 
+result<platform::garbage_marks> decodeGarbageMarks(std::string_view Text);
+std::string encode(const platform::garbage_marks &Marks);
+
 result<platform::zone_status> decodeZoneStatus(std::string_view Text);
 std::string encode(const platform::zone_status &Status);
 
--- a/libs/wire/src/detail/decoder.h
+++ b/libs/wire/src/detail/decoder.h
@@ -47,11 +47,14 @@
   return Items;
 }
 
+/// The clock counts nanoseconds in 64 bits, which reach to the year 2262.
+inline constexpr std::int64_t MaxWallTimeMillis = 7258118400000; // year 2200
+
 /// Times travel as whole milliseconds since 1970.
 inline wall_time readWallTime(settings::object_reader &Reader,
                               const std::string &Key) {
   return wall_time(
-      std::chrono::milliseconds(Reader.number(Key, 0, std::int64_t(1) << 52)));
+      std::chrono::milliseconds(Reader.number(Key, 0, MaxWallTimeMillis)));
 }
 
 inline std::int64_t wallTimeCount(wall_time Time) {
--- a/libs/wire/src/platform_values.cpp
+++ b/libs/wire/src/platform_values.cpp
@@ -7,14 +7,27 @@
 using nlohmann::json;
 using settings::object_reader;
 
+static platform::accepted_version readVersion(object_reader &Reader) {
+  platform::accepted_version Version;
+  Version.Version = detail::readUnsigned(Reader, "version");
+  Version.ManifestHash = Reader.text("manifest");
+  Version.Author = Reader.text("author");
+  Version.Reason = Reader.text("reason", "none given");
+  Version.AcceptedAt = detail::readWallTime(Reader, "accepted_at_ms");
+  Version.WriteId = Reader.text("write_id");
+  return Version;
+}
+
 static platform::config_head readHead(object_reader &Reader) {
+  platform::accepted_version Newest = readVersion(Reader);
   platform::config_head Head;
-  Head.Version = detail::readUnsigned(Reader, "version");
-  Head.ManifestHash = Reader.text("manifest");
-  Head.Author = Reader.text("author");
-  Head.Reason = Reader.text("reason", "none given");
-  Head.AcceptedAt = detail::readWallTime(Reader, "accepted_at_ms");
-  Head.WriteId = Reader.text("write_id");
+  Head.Version = Newest.Version;
+  Head.ManifestHash = std::move(Newest.ManifestHash);
+  Head.Author = std::move(Newest.Author);
+  Head.Reason = std::move(Newest.Reason);
+  Head.AcceptedAt = Newest.AcceptedAt;
+  Head.WriteId = std::move(Newest.WriteId);
+  Head.Earlier = detail::readList(Reader, "earlier", readVersion);
   return Head;
 }
 
@@ -22,14 +35,22 @@
   return detail::decodeObject(Text, "live/config", readHead);
 }
 
+static json toJson(const platform::accepted_version &Version) {
+  return {{"version", Version.Version},
+          {"manifest", Version.ManifestHash},
+          {"author", Version.Author},
+          {"reason", Version.Reason},
+          {"accepted_at_ms", detail::wallTimeCount(Version.AcceptedAt)},
+          {"write_id", Version.WriteId}};
+}
+
 std::string encode(const platform::config_head &Head) {
-  return json{{"version", Head.Version},
-              {"manifest", Head.ManifestHash},
-              {"author", Head.Author},
-              {"reason", Head.Reason},
-              {"accepted_at_ms", detail::wallTimeCount(Head.AcceptedAt)},
-              {"write_id", Head.WriteId}}
-      .dump();
+  json Json = toJson(platform::accepted_version{Head.Version, Head.ManifestHash,
+                                                Head.Author, Head.Reason,
+                                                Head.AcceptedAt, Head.WriteId});
+  for (const platform::accepted_version &Version : Head.Earlier)
+    Json["earlier"].push_back(toJson(Version));
+  return Json.dump();
 }
 
 static platform::site_manifest readSite(object_reader &Reader) {
@@ -67,19 +88,34 @@
   return json{{"sites", Sites}}.dump();
 }
 
+static platform::zone_out readZoneOut(object_reader &Reader) {
+  platform::zone_out Out;
+  Out.Author = Reader.text("author");
+  Out.Reason = Reader.text("reason", "none given");
+  Out.Since = detail::readWallTime(Reader, "since_ms");
+  return Out;
+}
+
+static platform::zone_move readZoneMove(object_reader &Reader) {
+  platform::zone_move Move;
+  Move.Zone = zone_name(Reader.text("zone"));
+  Move.IsOut = Reader.flag("out", false);
+  Move.Author = Reader.text("author");
+  Move.Reason = Reader.text("reason", "none given");
+  Move.At = detail::readWallTime(Reader, "at_ms");
+  return Move;
+}
+
 static platform::zone_state readZoneState(object_reader &Reader) {
   platform::zone_state State;
   State.WriteId = Reader.text("write_id");
+  State.Moves = detail::readList(Reader, "moves", readZoneMove);
   const json *Out = Reader.object("out");
   if (!Out)
     return State;
   for (const auto &Item : Out->items()) {
     object_reader Zone(Item.value(), "out." + Item.key(), Reader.faults());
-    State.Out.emplace(
-        zone_name(Item.key()),
-        platform::zone_out{Zone.text("author"),
-                           Zone.text("reason", "none given"),
-                           detail::readWallTime(Zone, "since_ms")});
+    State.Out.emplace(zone_name(Item.key()), readZoneOut(Zone));
   }
   return State;
 }
@@ -94,7 +130,42 @@
     Out[Zone.str()] = {{"author", Entry.Author},
                        {"reason", Entry.Reason},
                        {"since_ms", detail::wallTimeCount(Entry.Since)}};
-  return json{{"write_id", State.WriteId}, {"out", Out}}.dump();
+  json Moves = json::array();
+  for (const platform::zone_move &Move : State.Moves)
+    Moves.push_back({{"zone", Move.Zone.str()},
+                     {"out", Move.IsOut},
+                     {"author", Move.Author},
+                     {"reason", Move.Reason},
+                     {"at_ms", detail::wallTimeCount(Move.At)}});
+  return json{{"write_id", State.WriteId}, {"out", Out}, {"moves", Moves}}
+      .dump();
+}
+
+static platform::garbage_marks readMarks(object_reader &Reader) {
+  platform::garbage_marks Marks;
+  const json *Object = Reader.object("marks");
+  if (!Object)
+    return Marks;
+  for (const auto &Item : Object->items()) {
+    object_reader Mark(Item.value(), "marks." + Item.key(), Reader.faults());
+    auto Revision = detail::readUnsigned(Mark, "revision");
+    Marks.emplace(Item.key(),
+                  platform::garbage_mark{
+                      Revision, detail::readWallTime(Mark, "since_ms")});
+  }
+  return Marks;
+}
+
+result<platform::garbage_marks> decodeGarbageMarks(std::string_view Text) {
+  return detail::decodeObject(Text, "gc/marks", readMarks);
+}
+
+std::string encode(const platform::garbage_marks &Marks) {
+  json Object = json::object();
+  for (const auto &[Key, Mark] : Marks)
+    Object[Key] = {{"revision", Mark.Revision},
+                   {"since_ms", detail::wallTimeCount(Mark.Since)}};
+  return json{{"marks", Object}}.dump();
 }
 
 /// One row of the count of nodes by version.
--- a/libs/wire/tests/platform_values_test.cpp
+++ b/libs/wire/tests/platform_values_test.cpp
@@ -41,3 +41,19 @@
   Good.Slots = 0;
   CHECK_FALSE(bool(decodeServerAnnouncement(encode(Good))));
 }
+
+// Guards against a version that a later operator can no longer go back to.
+TEST(platform_values, HeadKeepsItsEarlierVersions) {
+  platform::config_head Head{7, "abc", "marie", "new slots", wall_time{}, "w1"};
+  Head.Earlier = {{6, "def", "paul", "x", wall_time{}, "w0"}};
+  auto Decoded = decodeConfigHead(encode(Head));
+  CHECK(bool(Decoded));
+  CHECK(Head == *Decoded);
+}
+
+// Guards against times that overflow the clock's nanoseconds.
+TEST(platform_values, TimesBeyondTheClockAreRefused) {
+  CHECK_FALSE(bool(decodeZoneState(
+      R"({"write_id": "w", "out": {"z": {"author": "a",
+          "since_ms": 4503599627370496}}})")));
+}
