Confirm the newest version before serving and heal after lost relays

A restarted node could serve an old version, nodes that died with their relay stayed listed, and a healed partition would have removed live members. A startup gate asks the parent and two seed peers first; relays suspect nodes whose parent is gone, refute claims about nodes below them, and nodes return to their own zone. A planned stop publishes draining first, then leaves and frees the lease.

--- a/libs/distribution/include/gentianlug/distribution/child_table.h
+++ b/libs/distribution/include/gentianlug/distribution/child_table.h
@@ -2,6 +2,7 @@
 #define GENTIANLUG_DISTRIBUTION_CHILD_TABLE_H
 
 #include "gentianlug/core/clock.h"
+#include "gentianlug/distribution/node_state.h"
 #include "gentianlug/distribution/sync_messages.h"
 
 #include <chrono>
@@ -24,7 +25,7 @@
 inline constexpr std::size_t MaxPathLength = 6;
 
 /// The children of one node and their admission.
-class child_table {
+class child_table final : public child_watch {
 public:
   explicit child_table(node_id Self) : Self(std::move(Self)) {}
 
@@ -45,7 +46,9 @@
   /// Removes the children that missed their poll and returns them.
   std::vector<node_id> removeMissing(steady_time Now);
 
-  bool contains(const node_id &Node) const { return Children.count(Node) > 0; }
+  bool isLiveChild(const node_id &Node) const override {
+    return Children.count(Node) > 0;
+  }
   std::size_t size() const { return Children.size(); }
 
   /// Returns the sum of the reports of all children.
--- a/libs/distribution/include/gentianlug/distribution/node_state.h
+++ b/libs/distribution/include/gentianlug/distribution/node_state.h
@@ -28,6 +28,13 @@
   Below,
 };
 
+/// Tells which nodes poll this node.
+class child_watch {
+public:
+  virtual ~child_watch() = default;
+  virtual bool isLiveChild(const node_id &Node) const = 0;
+};
+
 /// What an update changed.
 struct update_outcome {
   bool MembersChanged = false;
@@ -49,6 +56,12 @@
   node_state(node_id Self, std::uint64_t Epoch,
              membership::member_times Times = {});
 
+  /// Sets the source of knowledge about children; it must outlive the state.
+  ///
+  /// A claim from above that a node below this one is gone is refuted here, so
+  /// that nodes do not vanish from routing when a partition heals.
+  void watchChildren(const child_watch *Watch) { Children = Watch; }
+
   /// Merges an update.
   update_outcome apply(const state_update &Update, update_source Source,
                        steady_time Now);
@@ -110,11 +123,14 @@
 
 private:
   void logMember(const node_id &Node, update_source Source);
+  bool isLiveBelow(const node_id &Node) const;
+  bool vouch(const membership::member_record &Claim, steady_time Now);
   void applyConfig(const config_update &Update, update_outcome &Outcome);
   void addMissing(const state_update &Update, update_outcome &Outcome) const;
   void addEverything(state_update &Update) const;
 
   node_id Self;
+  const child_watch *Children = nullptr;
   membership::member_table Members;
   std::map<std::string, live_value> Live;
   config_history History;
--- a/libs/distribution/src/child_table.cpp
+++ b/libs/distribution/src/child_table.cpp
@@ -39,7 +39,7 @@
     Response.RetryAfter = AttachWindow;
     return Response;
   }
-  if (!contains(From.Node) && Children.size() >= MaxChildren) {
+  if (!isLiveChild(From.Node) && Children.size() >= MaxChildren) {
     auto Target = std::next(Children.begin(),
                             std::ptrdiff_t(NextRedirect++ % Children.size()));
     Response.Verdict = verdict::Redirected;
--- a/libs/distribution/src/node_state.cpp
+++ b/libs/distribution/src/node_state.cpp
@@ -1,5 +1,7 @@
 #include "gentianlug/distribution/node_state.h"
 
+#include "gentianlug/distribution/child_table.h"
+
 #include <set>
 
 namespace gentianlug::distribution {
@@ -15,11 +17,45 @@
   Log.append({change_kind::Member, Node.str()}, Source == update_source::Below);
 }
 
+bool node_state::isLiveBelow(const node_id &Node) const {
+  // A tree is at most a few levels deep; the bound ends a loop of stale
+  // records.
+  const node_id *Step = &Node;
+  for (std::size_t Level = 0; Children && Level < MaxPathLength; ++Level) {
+    const member_record *Record = Members.find(*Step);
+    if (!Record || Record->Parent.empty())
+      return false;
+    if (Record->Parent == Self)
+      return Children->isLiveChild(*Step);
+    Step = &Record->Parent;
+  }
+  return false;
+}
+
+bool node_state::vouch(const member_record &Claim, steady_time Now) {
+  const member_record *Held = Members.find(Claim.Node);
+  bool Gone = Claim.State == membership::member_state::Suspect ||
+              Claim.State == membership::member_state::Left;
+  if (!Gone || !Held || !Claim.supersedes(*Held) ||
+      Claim.Incarnation != Held->Incarnation || !isLiveBelow(Claim.Node))
+    return false;
+  member_record Refuted = *Held;
+  Refuted.Sequence = Claim.Sequence + 1;
+  Members.apply(Refuted, Now);
+  logMember(Claim.Node, update_source::Below);
+  return true;
+}
+
 update_outcome
 node_state::applyMembers(const std::vector<member_record> &Records,
                          update_source Source, steady_time Now) {
   update_outcome Outcome;
   for (const member_record &Record : Records) {
+    if (Source == update_source::Above && vouch(Record, Now)) {
+      Outcome.MembersChanged = true;
+      Outcome.Missing.push_back(*Members.find(Record.Node));
+      continue;
+    }
     apply_outcome Applied = Members.apply(Record, Now);
     if (Applied == apply_outcome::Ignored)
       continue;
@@ -141,6 +177,11 @@
   Update.Cursor = Log.head();
   if (History.newest() > Request.Refused)
     Update.Config = History.updateFor(Request.Version);
+  if (Request.Role == sync_role::Probe) {
+    for (const auto &[Key, Value] : Live)
+      Update.Live.push_back(Value);
+    return Update;
+  }
   auto News = Log.since(Request.Cursor);
   if (!News || SendSnapshot) {
     addEverything(Update);
--- a/libs/node/include/gentianlug/node/control_task.h
+++ b/libs/node/include/gentianlug/node/control_task.h
@@ -21,6 +21,9 @@
     /// Evidence that other nodes sent for a rollout that this node controls.
     std::function<void(rollout::server_evidence)> Evidence;
     std::function<void(rollout_view)> Rollouts;
+    /// The draining state was reported toward the root, or a bound of 1 s
+    /// passed.
+    std::function<void()> DrainReported;
   };
 
   control_task(settings::node_settings Settings, outputs Outputs);
@@ -30,6 +33,7 @@
   result<void> listen();
 
   net::mailbox<server_announced> &announcements();
+  net::mailbox<drain_request> &drains();
   net::mailbox<stop_request> &stops();
 
 private:
--- a/libs/node/include/gentianlug/node/messages.h
+++ b/libs/node/include/gentianlug/node/messages.h
@@ -55,6 +55,9 @@
   bool Cut = false;
 };
 
+/// The node is about to stop and shall announce that.
+struct drain_request {};
+
 /// The node shall stop gracefully.
 struct stop_request {};
 
--- a/libs/node/src/control_listener.cpp
+++ b/libs/node/src/control_listener.cpp
@@ -37,7 +37,9 @@
           [this](const net::http_exchange &Exchange) { onRequest(Exchange); }),
       FlushTimer(Context.Loop, [this] { flush(); }),
       TickTimer(Context.Loop, [this] { tick(); }),
-      Children(Context.Settings.Node) {}
+      Children(Context.Settings.Node) {
+  Context.State.watchChildren(&Children);
+}
 
 result<void> control_listener::listen() {
   TickTimer.startEvery(TickPeriod);
@@ -95,7 +97,7 @@
   Poller.Digest = Request.Digest;
   Poller.OwnDigest = Own;
   Poller.LastSeen = Context.now();
-  Poller.Zone = Request.From.Zone;
+  Poller.Relay = {Request.From.Node, Request.From.Zone, Request.From.Control};
   Poller.IsRelay = Request.Role == sync_role::Relay;
   Poller.Report = Request.Report;
   if (Poller.Differing < DifferingPolls)
@@ -195,11 +197,19 @@
 tree_report control_listener::relayReports(const zone_name &Zone) const {
   tree_report Sum;
   for (const auto &[Node, Poller] : Pollers)
-    if (Poller.IsRelay && Poller.Zone == Zone)
+    if (Poller.IsRelay && Poller.Relay.Zone == Zone)
       Sum.merge(Poller.Report);
   return Sum;
 }
 
+std::vector<relay_entry> control_listener::relayPollers() const {
+  std::vector<relay_entry> Relays;
+  for (const auto &[Node, Poller] : Pollers)
+    if (Poller.IsRelay)
+      Relays.push_back(Poller.Relay);
+  return Relays;
+}
+
 void control_listener::onStateChanged() {
   if (std::exchange(FlushPending, true))
     return;
--- a/libs/node/src/control_listener.h
+++ b/libs/node/src/control_listener.h
@@ -44,6 +44,10 @@
   /// Returns the reports of the other root relays of \p Zone that poll here.
   distribution::tree_report relayReports(const zone_name &Zone) const;
 
+  /// Returns the other root relays that poll here. A relay that has just
+  /// taken its lease is known by its poll before the next listing.
+  std::vector<distribution::relay_entry> relayPollers() const;
+
   /// Returns the bytes sent and received by this listener.
   std::uint64_t bytes() const { return Server.bytes(); }
 
@@ -62,8 +66,7 @@
     std::uint64_t OwnDigest = 0;
     unsigned Differing = 0;
     steady_time LastSeen{};
-    /// Of another root relay, with its zone.
-    zone_name Zone;
+    distribution::relay_entry Relay;
     bool IsRelay = false;
     distribution::tree_report Report;
   };
--- a/libs/node/src/control_task.cpp
+++ b/libs/node/src/control_task.cpp
@@ -11,7 +11,9 @@
 #include "parent_link.h"
 #include "relay_exchange.h"
 #include "relay_role.h"
+#include "seed_peers.h"
 
+#include <algorithm>
 #include <ctime>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -36,6 +38,16 @@
 /// announces itself every second.
 static constexpr milliseconds AnnouncementLimit{5000};
 
+/// Bounds of a planned stop: of the report toward the root, of the answers to
+/// the children of a root relay, and of the last record with the release of
+/// the relay lease.
+static constexpr milliseconds DrainReportLimit{1000};
+static constexpr milliseconds RootDrainDelay{100};
+static constexpr milliseconds LeaveDelay{100};
+
+/// Reports between two tries to return to the own zone.
+static constexpr unsigned ReturnRounds = 5;
+
 /// Refusals that a node remembers of itself.
 static constexpr std::size_t MaxOwnRefusals = 3;
 
@@ -56,6 +68,7 @@
   outputs Outputs;
   net::event_loop &Loop;
   net::mailbox<server_announced> Announcements;
+  net::mailbox<drain_request> Drains;
   net::mailbox<stop_request> Stops;
   net::platform_client Platform;
   system_clock Clock;
@@ -68,55 +81,83 @@
   parent_link Parent;
   relay_exchange Exchange;
   relay_role Relay;
+  seed_peers Seeds;
+  distribution::startup_gate Gate;
   net::timer PublishTimer;
   net::timer ReportTimer;
+  net::timer DrainTimer;
+  net::timer LeaveTimer;
   bool PublishPending = false;
+  /// Whether the startup gate has opened.
+  bool Serving = false;
   routing_snapshot Snapshot;
   steady_time LastAnnouncement{};
   member_record Own;
   std::vector<refusal_report> Refusals;
   wall_time InForceAt;
+  /// Whether the last search trusted the seed peers. A search that follows it
+  /// found their relays silent and asks the platform.
+  bool SeedsTrusted = false;
+  unsigned Rounds = 0;
+  bool Draining = false;
+  bool DrainPosted = false;
 
   impl(net::event_loop &Loop, settings::node_settings S, outputs O)
       : Settings(std::move(S)), Outputs(std::move(O)), Loop(Loop),
         Announcements(Loop, [this](server_announced M) { onAnnounced(M); }),
-        Stops(Loop, [this](stop_request) { this->Loop.stop(); }),
+        Drains(Loop, [this](drain_request) { drain(); }),
+        Stops(Loop, [this](stop_request) { leave(); }),
         Platform(Loop, Settings.Platform), Gen(seedOf(Settings)),
         Incarnation(incarnationOf(Clock.wallNow())),
         State(Settings.Node, Incarnation), Context{Loop,     Clock,      Gen,
                                                    Metrics,  Settings,   State,
                                                    Platform, Incarnation},
-        Listener(Context, {[this](const update_outcome &Outcome) {
-                             onChanged(Outcome, false);
-                           },
-                           Outputs.Evidence}),
-        Parent(Context,
-               {[this](const update_outcome &Outcome) {
-                  onChanged(Outcome, true);
-                },
-                [this] { onPathChanged(); },
-                [this](std::uint32_t Slot) { Relay.contend(Slot); },
-                [this] { return report(); },
-                [this](std::function<void(std::vector<relay_entry>)> Done) {
-                  findRelays(std::move(Done));
-                },
-                [this] { Relay.contendForAny(); }}),
-        Exchange(Context, {[this](const update_outcome &Outcome) {
-                             onChanged(Outcome, true);
-                           },
-                           [this] { return report(); }}),
-        Relay(Context,
-              {[this] { onRelayGained(); }, [this] { onRelayLost(); },
-               [this](const update_outcome &Outcome) {
-                 onChanged(Outcome, true);
-               },
-               [this](std::uint32_t Slot) { Listener.offerSlot(Slot); }, [] {},
-               [this] { return zoneReport(); }}),
+        Listener(Context, {changed(), Outputs.Evidence}),
+        Parent(Context, parentOutputs()),
+        Exchange(Context, {changed(), [this] { return report(); }}),
+        Relay(Context, relayOutputs()), Seeds(Context),
+        Gate(Clock.steadyNow(), Settings.SeedPeers.size()),
         PublishTimer(Loop, [this] { publish(); }),
-        ReportTimer(Loop, [this] { onReportTimer(); }) {
+        ReportTimer(Loop, [this] { onReportTimer(); }),
+        DrainTimer(Loop, [this] { drainReported(); }),
+        LeaveTimer(Loop, [this] { this->Loop.stop(); }) {
     Snapshot.Members = std::make_shared<const std::vector<member_record>>();
   }
 
+  std::function<void(const update_outcome &)> changed() {
+    return [this](const update_outcome &Outcome) { onChanged(Outcome); };
+  }
+
+  parent_link::outputs parentOutputs() {
+    parent_link::outputs Link;
+    Link.Changed = changed();
+    Link.PathChanged = [this] { onPathChanged(); };
+    Link.SlotFree = [this](std::uint32_t Slot) { Relay.contend(Slot); };
+    Link.Report = [this] { return report(); };
+    Link.FindRelays =
+        [this](std::function<void(std::vector<relay_entry>)> Done) {
+          findRelays(std::move(Done));
+        };
+    Link.OwnZoneSilent = [this] { Relay.contendForAny(); };
+    Link.Answered = [this](config_version Version) {
+      onParentAnswered(Version);
+    };
+    Link.UpTaken = [this] { onUpTaken(); };
+    return Link;
+  }
+
+  relay_role::outputs relayOutputs() {
+    relay_role::outputs Role;
+    Role.Gained = [this] { onRelayGained(); };
+    Role.Lost = [this] { onRelayLost(); };
+    Role.Changed = changed();
+    Role.SlotFree = [this](std::uint32_t Slot) { Listener.offerSlot(Slot); };
+    Role.Listed = [this] { exchangeWithRelays(); };
+    Role.Read = [this] { onParentAnswered(State.version()); };
+    Role.Report = [this] { return zoneReport(); };
+    return Role;
+  }
+
   void start() {
     Own.Node = Settings.Node;
     Own.Zone = Settings.Zone;
@@ -130,15 +171,34 @@
 
   // The tree.
 
+  /// Asks seed peers first: the platform is asked only when they know no relay
+  /// of the zone, so that a storm of starting nodes does not reach it.
   void findRelays(std::function<void(std::vector<relay_entry>)> Done) {
-    Relay.findRelays([this, Done = std::move(Done)](
-                         const result<std::vector<relay_entry>> &Relays) {
-      if (Relays)
-        return Done(*Relays);
-      std::vector<relay_entry> Known;
-      for (const member_record &Root : State.members().roots())
-        Known.push_back({Root.Node, Root.Zone, Root.ControlAddress});
-      Done(Known);
+    Seeds.findRelays(
+        [this, Done = std::move(Done)](std::vector<relay_entry> Known) {
+          std::erase_if(Known, [this](const relay_entry &Relay) {
+            return Relay.Node == Settings.Node;
+          });
+          bool OwnZone = std::any_of(Known.begin(), Known.end(),
+                                     [this](const relay_entry &Relay) {
+                                       return Relay.Zone == Settings.Zone;
+                                     });
+          if (OwnZone && !std::exchange(SeedsTrusted, true))
+            return Done(std::move(Known));
+          SeedsTrusted = false;
+          askPlatform(std::move(Known), Done);
+        });
+  }
+
+  void askPlatform(std::vector<relay_entry> Known,
+                   const std::function<void(std::vector<relay_entry>)> &Done) {
+    Relay.findRelays([this, Known = std::move(Known),
+                      Done](const result<std::vector<relay_entry>> &Relays) {
+      std::vector<relay_entry> Found = Relays ? *Relays : Known;
+      if (!Relays)
+        for (const member_record &Root : State.members().roots())
+          Found.push_back({Root.Node, Root.Zone, Root.ControlAddress});
+      Done(std::move(Found));
     });
   }
 
@@ -174,15 +234,146 @@
     if (Own.Parent.empty() && !Relay.isRoot())
       return;
     State.setOwn(Own, Context.now());
-    update_outcome Outcome;
-    Outcome.MembersChanged = true;
-    onChanged(Outcome, false);
+    onChanged(membersChanged());
     Parent.sendUp({*State.members().find(Settings.Node)});
   }
 
+  void onParentAnswered(config_version Version) {
+    SeedsTrusted = false;
+    Gate.onParentAnswered(Version);
+    startup();
+  }
+
+  /// Takes the next step until this node may serve.
+  void startup() {
+    if (Serving)
+      return;
+    if (Gate.wantsProbes(Context.now())) {
+      Gate.onProbesSent();
+      Seeds.probe([this](std::optional<distribution::sync_response> Response) {
+        onProbed(Response);
+      });
+    }
+    if (!Gate.open(State.version()))
+      return;
+    Serving = true;
+    logEvent(event::ServingStarted,
+             "version " + std::to_string(State.version()));
+    schedulePublish();
+  }
+
+  void onProbed(const std::optional<distribution::sync_response> &Response) {
+    if (!Response)
+      Gate.onProbeFailed();
+    else
+      Gate.onProbeAnswered(Response->Version);
+    if (Response)
+      onChanged(State.apply(Response->Update,
+                            distribution::update_source::Above, Context.now()));
+    startup();
+  }
+
+  /// Polls the relays of the listing and those that poll this one.
+  void exchangeWithRelays() {
+    if (!Relay.isRoot())
+      return;
+    std::vector<relay_entry> Relays = Relay.relays();
+    for (const relay_entry &Poller : Listener.relayPollers())
+      if (!isAmong(Relays, Poller.Node))
+        Relays.push_back(Poller);
+    Exchange.setRelays(Relays);
+  }
+
+  static bool isAmong(const std::vector<relay_entry> &Relays,
+                      const node_id &Node) {
+    return std::any_of(
+        Relays.begin(), Relays.end(),
+        [&](const relay_entry &Relay) { return Relay.Node == Node; });
+  }
+
+  /// Suspects nodes that died together with the relay that watched them.
+  void checkOrphans() {
+    std::vector<relay_entry> Roots = Relay.relays();
+    for (const relay_entry &Poller : Listener.relayPollers())
+      Roots.push_back(Poller);
+    bool IsRoot = Relay.isRoot();
+    bool Changed = State.suspectOrphans(
+        Context.now(),
+        [this](const node_id &Node) {
+          return Listener.children().isLiveChild(Node);
+        },
+        // Only a root relay knows the others.
+        [&](const node_id &Node) { return !IsRoot || isAmong(Roots, Node); });
+    if (Changed)
+      onChanged(membersChanged());
+  }
+
+  /// A node below a relay of another zone goes back once its own zone has one,
+  /// or tries to become one.
+  void returnToOwnZone() {
+    const std::vector<node_id> &Path = Parent.parentPath();
+    if (Path.empty())
+      return;
+    const member_record *Root = State.members().find(Path.front());
+    if (!Root || Root->Zone == Settings.Zone)
+      return;
+    std::vector<relay_entry> Own;
+    for (const member_record &Relay : State.members().roots())
+      if (Relay.Zone == Settings.Zone && Relay.Node != Settings.Node)
+        Own.push_back({Relay.Node, Relay.Zone, Relay.ControlAddress});
+    // About two nodes of a zone try in each period, whatever its size.
+    double Chance = 2.0 / double(std::max<std::size_t>(zoneSize(), 2));
+    if (!Own.empty())
+      Parent.move(Own);
+    else if (drawChance(Gen, Chance))
+      Relay.contendForAny();
+  }
+
+  std::size_t zoneSize() const {
+    std::vector<member_record> All = State.members().all();
+    return std::size_t(
+        std::count_if(All.begin(), All.end(), [this](const auto &Record) {
+          return Record.Zone == Settings.Zone;
+        }));
+  }
+
+  // The end.
+
+  void drain() {
+    Draining = true;
+    Own.State = member_state::Draining;
+    DrainTimer.startOnce(Parent.attached() ? DrainReportLimit : RootDrainDelay);
+    publishOwn();
+  }
+
+  void onUpTaken() {
+    if (Draining)
+      drainReported();
+  }
+
+  void drainReported() {
+    if (!std::exchange(DrainPosted, true))
+      Outputs.DrainReported();
+  }
+
+  /// Publishes that this node is gone and frees its relay lease.
+  void leave() {
+    Own.State = member_state::Left;
+    publishOwn();
+    Relay.release();
+    LeaveTimer.startOnce(LeaveDelay);
+  }
+
   // Changes of the state.
 
-  void onChanged(const update_outcome &Outcome, bool FromAbove) {
+  static update_outcome membersChanged() {
+    update_outcome Outcome;
+    Outcome.MembersChanged = true;
+    return Outcome;
+  }
+
+  void onChanged(const update_outcome &Outcome) {
+    Parent.sendUp(Outcome.Missing);
     if (Outcome.Refusal)
       onRefused(*Outcome.Refusal);
     if (Outcome.ConfigChanged) {
@@ -196,8 +387,12 @@
     if (!Outcome.ConfigChanged && !Outcome.LiveChanged &&
         !Outcome.MembersChanged)
       return;
-    (void)FromAbove;
     Listener.onStateChanged();
+    startup();
+    schedulePublish();
+  }
+
+  void schedulePublish() {
     if (!std::exchange(PublishPending, true))
       PublishTimer.startOnce(PublishDelay);
   }
@@ -252,7 +447,8 @@
 
   void publish() {
     PublishPending = false;
-    Snapshot.Configuration = State.configuration();
+    if (Serving)
+      Snapshot.Configuration = State.configuration();
     Snapshot.Members = std::make_shared<const std::vector<member_record>>(
         State.members().serving());
     Outputs.Routing(std::make_shared<const routing_snapshot>(Snapshot));
@@ -275,16 +471,15 @@
     Own.Version = Server.Version;
     Own.Slots = Server.Slots;
     Own.ServerIncarnation = Server.Incarnation;
-    Own.State =
-        Server.Draining ? member_state::Draining : member_state::Serving;
+    if (!Draining)
+      Own.State =
+          Server.Draining ? member_state::Draining : member_state::Serving;
     publishOwn();
-    update_outcome Outcome;
-    Outcome.MembersChanged = true;
-    onChanged(Outcome, false);
+    onChanged(membersChanged());
   }
 
   void checkServer() {
-    if (!Snapshot.Server ||
+    if (Draining || !Snapshot.Server ||
         Context.now() - LastAnnouncement < AnnouncementLimit)
       return;
     Snapshot.Server.reset();
@@ -318,9 +513,14 @@
   void onReportTimer() {
     checkServer();
     if (Relay.isRoot()) {
-      Exchange.setRelays(Relay.relays());
+      exchangeWithRelays();
       Relay.onReportChanged();
+    } else if (++Rounds % ReturnRounds == 0) {
+      returnToOwnZone();
     }
+    if (Listener.children().size() > 0 || Relay.isRoot())
+      checkOrphans();
+    startup();
     reportStatus();
   }
 
@@ -336,7 +536,8 @@
     Metrics.gauge("gentianlug_members", double(State.members().size()));
     Metrics.gauge("gentianlug_children", double(Listener.children().size()));
     Metrics.gauge("gentianlug_control_bytes_total",
-                  double(Listener.bytes() + Parent.bytes() + Exchange.bytes()));
+                  double(Listener.bytes() + Parent.bytes() + Exchange.bytes() +
+                         Seeds.bytes()));
     Metrics.gauge("gentianlug_control_cpu_seconds_total",
                   std::chrono::duration<double>(threadTime()).count());
   }
@@ -380,6 +581,8 @@
   return Impl->Announcements;
 }
 
+net::mailbox<drain_request> &control_task::drains() { return Impl->Drains; }
+
 net::mailbox<stop_request> &control_task::stops() { return Impl->Stops; }
 
 void control_task::onStart() { Impl->start(); }
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -39,7 +39,8 @@
                    Admin.reports().post(std::move(Report));
                  },
                  [](const rollout::server_evidence &) {},
-                 [](const rollout_view &) {}}) {}
+                 [](const rollout_view &) {},
+                 [this] { Proxy.stops().post({}); }}) {}
 
   result<void> listen() {
     if (auto Listening = Proxy.listen(); !Listening)
@@ -78,7 +79,7 @@
                                    Settings.CallerListen.str());
   net::event_loop Signals;
   net::signal_watch Watch(Signals, {SIGTERM, SIGINT}, [&](int) {
-    Tasks.Proxy.stops().post({});
+    Tasks.Control.drains().post({});
     Signals.stop();
   });
   Signals.run();
--- a/libs/node/src/parent_link.cpp
+++ b/libs/node/src/parent_link.cpp
@@ -53,6 +53,16 @@
   Pending.clear();
 }
 
+void parent_link::move(const std::vector<relay_entry> &Relays) {
+  if (!Running || !Attachment.attached())
+    return;
+  ++Generation;
+  UpUnderWay = false;
+  Attachment.detach(Context.now(), milliseconds(0));
+  Attachment.onRelays(Relays, Context.now(), Context.Gen);
+  step();
+}
+
 void parent_link::post(
     const address &Target, const std::string &Path, std::string Body,
     milliseconds Timeout,
@@ -160,6 +170,7 @@
   if (Attachment.parentPath() != Before)
     Outputs.PathChanged();
   Outputs.Changed(Outcome);
+  Outputs.Answered(Response->Version);
   if (Response->FreeSlot)
     Outputs.SlotFree(*Response->FreeSlot);
 }
--- a/libs/node/src/parent_link.h
+++ b/libs/node/src/parent_link.h
@@ -27,6 +27,10 @@
         FindRelays;
     /// No relay of the own zone answered.
     std::function<void()> OwnZoneSilent;
+    /// The parent answered a poll and reported its newest version.
+    std::function<void(config_version)> Answered;
+    /// A parent has taken all records that waited to be sent up.
+    std::function<void()> UpTaken;
   };
 
   parent_link(control_context &Context, outputs Outputs);
@@ -37,6 +41,9 @@
   /// Gives up the parent, for a node that becomes a root relay.
   void stop();
 
+  /// Gives up the parent for one below \p Relays.
+  void move(const std::vector<distribution::relay_entry> &Relays);
+
   bool attached() const { return Attachment.attached(); }
   const std::vector<node_id> &parentPath() const {
     return Attachment.parentPath();
--- a/libs/node/src/relay_role.cpp
+++ b/libs/node/src/relay_role.cpp
@@ -216,6 +216,7 @@
           return platformFailed(List.failure());
         steady_time Now = Context.now();
         Directory.onListing(readRelaySlots(*List), Now);
+        Outputs.Listed();
         if (auto Free =
                 Directory.freeSlot(Context.Settings.Zone, Now, Context.Gen);
             Free && Root)
--- a/libs/node/src/relay_role.h
+++ b/libs/node/src/relay_role.h
@@ -28,6 +28,8 @@
     std::function<void(const distribution::update_outcome &)> Changed;
     /// A relay slot of the own zone is free.
     std::function<void(std::uint32_t Slot)> SlotFree;
+    /// The relay leases were listed.
+    std::function<void()> Listed;
     /// The first complete reading of the platform has ended.
     std::function<void()> Read;
     /// What the zone's status shall say.
--- /dev/null
+++ b/libs/node/src/seed_peers.cpp
@@ -0,0 +1,91 @@
+#include "seed_peers.h"
+
+#include "gentianlug/wire/control_messages.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace gentianlug::node {
+
+using namespace distribution;
+using std::chrono::milliseconds;
+
+static constexpr milliseconds RelaysTimeout{500};
+
+/// An answer may hold a whole configuration.
+static constexpr milliseconds ProbeTimeout{3000};
+
+std::vector<address> seed_peers::draw() {
+  std::vector<address> Seeds = Context.Settings.SeedPeers;
+  std::erase(Seeds, Context.Settings.ControlListen);
+  std::shuffle(Seeds.begin(), Seeds.end(), Context.Gen);
+  if (Seeds.size() > StartupProbes)
+    Seeds.resize(StartupProbes);
+  return Seeds;
+}
+
+namespace {
+
+/// Answers of several seed peers to one question.
+struct relay_search {
+  std::size_t Unanswered = 0;
+  std::vector<relay_entry> Relays;
+  std::function<void(std::vector<relay_entry>)> Done;
+
+  void onAnswer(const result<net::http_response> &Answer) {
+    auto Listed =
+        Answer && Answer->Status == 200
+            ? wire::decodeRelayList(Answer->Body)
+            : result<std::vector<relay_entry>>(std::vector<relay_entry>());
+    if (Listed)
+      for (relay_entry &Relay : *Listed)
+        if (std::find(Relays.begin(), Relays.end(), Relay) == Relays.end())
+          Relays.push_back(std::move(Relay));
+    if (--Unanswered == 0)
+      Done(std::move(Relays));
+  }
+};
+
+} // namespace
+
+void seed_peers::findRelays(
+    std::function<void(std::vector<relay_entry>)> Done) {
+  std::vector<address> Seeds = draw();
+  if (Seeds.empty())
+    return Done({});
+  auto Search = std::make_shared<relay_search>();
+  Search->Unanswered = Seeds.size();
+  Search->Done = std::move(Done);
+  net::http_request Request;
+  Request.Target = "/v1/relays";
+  for (const address &Seed : Seeds)
+    Client.send(Seed, Request, RelaysTimeout,
+                [Search](const result<net::http_response> &Answer) {
+                  Search->onAnswer(Answer);
+                });
+}
+
+void seed_peers::probe(
+    const std::function<void(std::optional<sync_response>)> &Done) {
+  sync_request Probe;
+  Probe.From = Context.self();
+  Probe.Role = sync_role::Probe;
+  Probe.Version = Context.State.version();
+  Probe.Refused = Context.State.refusedVersion();
+  net::http_request Request;
+  Request.Method = "POST";
+  Request.Target = "/v1/sync";
+  Request.Body = wire::encode(Probe);
+  for (const address &Seed : draw())
+    Client.send(Seed, Request, ProbeTimeout,
+                [Done](const result<net::http_response> &Answer) {
+                  if (!Answer || Answer->Status != 200)
+                    return Done(std::nullopt);
+                  auto Response = wire::decodeSyncResponse(Answer->Body);
+                  if (!Response)
+                    return Done(std::nullopt);
+                  Done(std::move(*Response));
+                });
+}
+
+} // namespace gentianlug::node
