--- a/libs/net/include/gentianlug/net/http_client.h
+++ b/libs/net/include/gentianlug/net/http_client.h
@@ -92,6 +92,10 @@
   /// Closes the idle connections to \p Peer, after one of them went silent.
   void closeIdle(const address &Peer);
 
+  /// Returns the bytes sent and received on all connections so far, with
+  /// headers.
+  std::uint64_t bytes() const;
+
 private:
   struct impl;
   std::unique_ptr<impl> Impl;
--- a/libs/net/include/gentianlug/net/http_server.h
+++ b/libs/net/include/gentianlug/net/http_server.h
@@ -6,6 +6,7 @@
 #include "gentianlug/net/http_message.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -95,6 +96,10 @@
   /// those that become idle.
   void closeIdle();
 
+  /// Returns the bytes sent and received on all connections so far, with
+  /// headers.
+  std::uint64_t bytes() const;
+
 private:
   struct impl;
   std::unique_ptr<impl> Impl;
