Decide endpoint, retry and limits of a call

The entry node took the first serving member and knew neither zones, load, faults nor retries.

A picker behind an abstract interface compares two random endpoints by load per limit, prefers the own zone and spills when waiting there is expected to take longer than the way to another zone. Endpoints are ejected after three failures in a row or a latency of four times the median, for a growing time; at most half stay out. Zones that are out get nothing and ramp up over 10 s. Retries are bounded by rules and by a token bucket of a tenth of first tries; deadlines shrink and chains end at depth 16.

test_routing: 20 tests pass with a set clock and a seeded generator.

--- /dev/null
+++ b/libs/routing/src/outlier_detector.cpp
@@ -0,0 +1,101 @@
+#include "gentianlug/routing/outlier_detector.h"
+
+#include <algorithm>
+
+namespace gentianlug::routing {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// An answer changes the moving average by this part of its difference.
+static constexpr int LatencyDivisor = 8;
+
+static void recordLatency(endpoint &Endpoint, microseconds Latency) {
+  ++Endpoint.Samples;
+  if (Endpoint.Samples == 1)
+    Endpoint.Latency = Latency;
+  else
+    Endpoint.Latency += (Latency - Endpoint.Latency) / LatencyDivisor;
+}
+
+/// Returns the lower median of the latencies of the judged endpoints, or
+/// nothing when there are too few to compare.
+static std::optional<microseconds>
+medianLatency(const std::vector<endpoint *> &Peers, std::uint32_t MinSamples,
+              steady_time Now) {
+  constexpr std::size_t MinPeers = 3;
+  std::vector<microseconds> Latencies;
+  for (const endpoint *Peer : Peers)
+    if (Peer->Samples >= MinSamples && !Peer->isEjected(Now))
+      Latencies.push_back(Peer->Latency);
+  if (Latencies.size() < MinPeers)
+    return std::nullopt;
+  auto Middle = Latencies.begin() + std::ptrdiff_t((Latencies.size() - 1) / 2);
+  std::nth_element(Latencies.begin(), Middle, Latencies.end());
+  return *Middle;
+}
+
+std::optional<ejection> outlier_detector::observe(
+    endpoint &Endpoint, const std::vector<endpoint *> &Peers,
+    const call_observation &Observation, steady_time Now) const {
+  if (Observation.Load) {
+    Endpoint.Load = Observation.Load;
+    Endpoint.LoadTime = Now;
+  }
+  switch (Observation.Verdict) {
+  case call_verdict::Canceled:
+  case call_verdict::Shed:
+    return std::nullopt;
+  case call_verdict::Failed:
+    ++Endpoint.ConsecutiveFailures;
+    break;
+  case call_verdict::Answered:
+    Endpoint.ConsecutiveFailures = 0;
+    recordLatency(Endpoint, Observation.Latency);
+    break;
+  }
+  // Answers of calls that were under way at the ejection change nothing.
+  if (Endpoint.isEjected(Now))
+    return std::nullopt;
+  std::string Fault = findFault(Endpoint, Peers, Now);
+  if (Fault.empty())
+    return std::nullopt;
+  return eject(Endpoint, std::move(Fault), Now);
+}
+
+std::string outlier_detector::findFault(const endpoint &Endpoint,
+                                        const std::vector<endpoint *> &Peers,
+                                        steady_time Now) const {
+  if (Endpoint.ConsecutiveFailures >= Rules.ConsecutiveFailures)
+    return std::to_string(Endpoint.ConsecutiveFailures) +
+           " calls in a row failed";
+  if (Endpoint.Samples < Rules.MinSamples)
+    return {};
+  auto Median = medianLatency(Peers, Rules.MinSamples, Now);
+  if (!Median || Endpoint.Latency < *Median + Rules.LatencyExcess ||
+      double(Endpoint.Latency.count()) <
+          double(Median->count()) * Rules.LatencyFactor)
+    return {};
+  return "latency " + std::to_string(Endpoint.Latency.count()) +
+         " us against a median of " + std::to_string(Median->count()) + " us";
+}
+
+ejection outlier_detector::eject(endpoint &Endpoint, std::string Reason,
+                                 steady_time Now) const {
+  if (Now - Endpoint.EjectedUntil >= Rules.Forgiveness)
+    Endpoint.Ejections = 0;
+  milliseconds Time = Rules.FirstEjection;
+  for (std::uint32_t Count = 0;
+       Count < Endpoint.Ejections && Time < Rules.LongestEjection; ++Count)
+    Time *= 2;
+  Time = std::min(Time, Rules.LongestEjection);
+  ++Endpoint.Ejections;
+  Endpoint.EjectedSince = Now;
+  Endpoint.EjectedUntil = Now + Time;
+  // After its return the endpoint is judged by new answers only.
+  Endpoint.ConsecutiveFailures = 0;
+  Endpoint.Samples = 0;
+  return {Endpoint.Member.Node, Time, std::move(Reason)};
+}
+
+} // namespace gentianlug::routing
--- /dev/null
+++ b/libs/routing/src/routing_errc.cpp
@@ -0,0 +1,20 @@
+#include "gentianlug/routing/routing_errc.h"
+
+#include "gentianlug/core/error_table.h"
+
+namespace gentianlug::routing {
+
+static constexpr error_text RoutingTexts[] = {
+    {int(routing_errc::NoServer), "no server takes calls"},
+    {int(routing_errc::AllZonesOut), "all zones with servers are out"},
+    {int(routing_errc::DeadlinePassed), "deadline has passed"},
+    {int(routing_errc::TooDeep), "call chain is too deep"},
+    {int(routing_errc::BadCallHeader), "malformed call header"},
+};
+
+std::error_code make_error_code(routing_errc Code) {
+  static const error_table Category("routing", RoutingTexts);
+  return {int(Code), Category};
+}
+
+} // namespace gentianlug::routing
--- /dev/null
+++ b/libs/routing/src/two_choices_picker.cpp
@@ -0,0 +1,182 @@
+#include "gentianlug/routing/endpoint_picker.h"
+#include "gentianlug/routing/routing_errc.h"
+
+#include <algorithm>
+
+namespace gentianlug::routing {
+
+using membership::member_state;
+using endpoint_list = std::vector<const endpoint *>;
+
+/// Members of \p Version that take calls at all: serving ones, else suspect
+/// ones.
+static result<endpoint_list> findUsable(const pick_request &Request,
+                                        const version_name &Version,
+                                        steady_time Now) {
+  endpoint_list Serving;
+  endpoint_list Suspect;
+  bool AnyInZoneOut = false;
+  for (const endpoint *Endpoint : Request.Endpoints) {
+    member_state State = Endpoint->Member.State;
+    bool TakesCalls =
+        State == member_state::Serving || State == member_state::Suspect;
+    if (!TakesCalls || Endpoint->Member.Version != Version)
+      continue;
+    if (Request.Zones.weight(Endpoint->Member.Zone, Now) == 0) {
+      AnyInZoneOut = true;
+      continue;
+    }
+    (State == member_state::Serving ? Serving : Suspect).push_back(Endpoint);
+  }
+  if (!Serving.empty())
+    return Serving;
+  if (!Suspect.empty())
+    return Suspect;
+  return makeError(AnyInZoneOut ? routing_errc::AllZonesOut
+                                : routing_errc::NoServer,
+                   "version " + Version.str());
+}
+
+/// Removes ejected endpoints: those ejected first, at most half, never the
+/// last one.
+static void dropEjected(endpoint_list &List, steady_time Now) {
+  auto FirstEjected = std::stable_partition(
+      List.begin(), List.end(),
+      [&](const endpoint *Endpoint) { return !Endpoint->isEjected(Now); });
+  if (FirstEjected == List.end())
+    return;
+  std::sort(FirstEjected, List.end(), [](const endpoint *A, const endpoint *B) {
+    return A->EjectedSince > B->EjectedSince;
+  });
+  auto Ejected = std::size_t(List.end() - FirstEjected);
+  List.resize(List.size() - std::min(Ejected, List.size() / 2));
+}
+
+/// Keeps the endpoints that \p Keep accepts, unless it accepts none.
+template <class Predicate>
+static void prefer(endpoint_list &List, Predicate Keep) {
+  endpoint_list Kept;
+  std::copy_if(List.begin(), List.end(), std::back_inserter(Kept), Keep);
+  if (!Kept.empty())
+    List = std::move(Kept);
+}
+
+/// Keeps each returning zone with the probability of its weight.
+static void dropRampingZones(endpoint_list &List, const pick_request &Request,
+                             generator &Gen, steady_time Now) {
+  std::vector<std::pair<const zone_name *, bool>> Drawn;
+  prefer(List, [&](const endpoint *Endpoint) {
+    const zone_name &Zone = Endpoint->Member.Zone;
+    double Weight = Request.Zones.weight(Zone, Now);
+    if (Weight >= 1)
+      return true;
+    for (const auto &[Known, Keep] : Drawn)
+      if (*Known == Zone)
+        return Keep;
+    Drawn.emplace_back(&Zone, drawChance(Gen, Weight));
+    return Drawn.back().second;
+  });
+}
+
+static pick pickOfTwo(const endpoint_list &List, generator &Gen,
+                      steady_time Now) {
+  if (List.size() == 1)
+    return {List[0], nullptr, "only endpoint"};
+  std::size_t First = drawIndex(Gen, List.size());
+  std::size_t Second = drawIndex(Gen, List.size() - 1);
+  if (Second >= First)
+    ++Second;
+  const endpoint *A = List[First];
+  const endpoint *B = List[Second];
+  if (B->utilization(Now) < A->utilization(Now))
+    std::swap(A, B);
+  return {A, B, "less loaded of two"};
+}
+
+/// Chooses in the own zone, and elsewhere when waiting here is expected to
+/// take longer than the way there and the wait there.
+static pick pickByZone(const endpoint_list &List, const pick_request &Request,
+                       generator &Gen, steady_time Now) {
+  endpoint_list Here;
+  endpoint_list There;
+  for (const endpoint *Endpoint : List)
+    (Endpoint->Member.Zone == Request.OwnZone ? Here : There)
+        .push_back(Endpoint);
+  if (Here.empty() || There.empty())
+    return pickOfTwo(List, Gen, Now);
+  pick Local = pickOfTwo(Here, Gen, Now);
+  auto LocalWait = Local.Endpoint->expectedWait(Now);
+  if (LocalWait <= Request.ZoneRoundTrip) {
+    Local.Reason = "own zone";
+    return Local;
+  }
+  pick Remote = pickOfTwo(There, Gen, Now);
+  if (Remote.Endpoint->expectedWait(Now) + Request.ZoneRoundTrip >= LocalWait) {
+    Local.Reason = "own zone, other zones are busy too";
+    return Local;
+  }
+  return {Remote.Endpoint, Local.Endpoint, "own zone is busy"};
+}
+
+static bool isTried(const pick_request &Request, const endpoint *Endpoint) {
+  return std::find(Request.Tried.begin(), Request.Tried.end(),
+                   Endpoint->Member.Node) != Request.Tried.end();
+}
+
+/// Healthy endpoints of the new version of a rollout; may be empty.
+static endpoint_list findNewVersion(const pick_request &Request,
+                                    steady_time Now) {
+  auto Usable = findUsable(Request, Request.Version, Now);
+  endpoint_list List = Usable ? std::move(*Usable) : endpoint_list();
+  std::erase_if(List, [&](const endpoint *Endpoint) {
+    return Endpoint->isEjected(Now) || isTried(Request, Endpoint);
+  });
+  return List;
+}
+
+static result<endpoint_list> findConfiguredVersion(const pick_request &Request,
+                                                   steady_time Now) {
+  auto Usable = findUsable(Request, Request.Fallback, Now);
+  if (!Usable)
+    return Usable;
+  dropEjected(*Usable, Now);
+  prefer(*Usable,
+         [&](const endpoint *Endpoint) { return !isTried(Request, Endpoint); });
+  return Usable;
+}
+
+result<pick> two_choices_picker::pickEndpoint(const pick_request &Request,
+                                              generator &Gen,
+                                              steady_time Now) const {
+  bool WantsNew = Request.Version != Request.Fallback;
+  endpoint_list List;
+  if (WantsNew)
+    List = findNewVersion(Request, Now);
+  bool FellBack = WantsNew && List.empty();
+  if (List.empty()) {
+    auto Configured = findConfiguredVersion(Request, Now);
+    if (!Configured)
+      return Configured.failure();
+    List = std::move(*Configured);
+  }
+  dropRampingZones(List, Request, Gen, Now);
+  pick Pick = pickByZone(List, Request, Gen, Now);
+  if (FellBack)
+    Pick.Reason = "new version has no healthy endpoint";
+  return Pick;
+}
+
+static std::string describeEndpoint(const endpoint &Endpoint, steady_time Now) {
+  return Endpoint.Member.Node.str() + " in " + Endpoint.Member.Zone.str() +
+         " (load " + std::to_string(Endpoint.load(Now)) + "/" +
+         std::to_string(Endpoint.limit(Now)) + ")";
+}
+
+std::string describePick(const pick &Pick, steady_time Now) {
+  std::string Text = describeEndpoint(*Pick.Endpoint, Now);
+  if (Pick.Other)
+    Text += " over " + describeEndpoint(*Pick.Other, Now);
+  return Text + ": " + Pick.Reason;
+}
+
+} // namespace gentianlug::routing
--- /dev/null
+++ b/libs/routing/tests/outlier_detector_test.cpp
@@ -0,0 +1,88 @@
+#include "gentianlug/routing/endpoint_table.h"
+#include "make_member.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::routing;
+using namespace std::chrono_literals;
+
+TEST_GROUP(outlier_detector) {
+  manual_clock Clock;
+  endpoint_table Table;
+  const char *Nodes[3] = {"a", "b", "c"};
+
+  std::optional<ejection> observe(const char *Node, call_verdict Verdict,
+                                  std::chrono::microseconds Latency = 5ms) {
+    Table.callStarted(node_id(Node));
+    return Table.callEnded(node_id(Node), {Verdict, Latency, {}},
+                           Clock.steadyNow());
+  }
+
+  std::optional<ejection> failUntilEjected() {
+    for (int Count = 0; Count < 3; ++Count)
+      if (auto Ejection = observe("a", call_verdict::Failed))
+        return Ejection;
+    return std::nullopt;
+  }
+
+  void setup() override {
+    Table.update(
+        {makeMember("a", "z"), makeMember("b", "z"), makeMember("c", "z")});
+  }
+};
+
+// Guards against a healthy server that is ejected for scattered failures, for
+// shedding load, or for callers that go away.
+TEST(outlier_detector, OnlyFailuresInARowEject) {
+  for (int Count = 0; Count < 20; ++Count) {
+    CHECK_FALSE(observe("a", call_verdict::Failed).has_value());
+    CHECK_FALSE(observe("a", call_verdict::Failed).has_value());
+    CHECK_FALSE(observe("a", call_verdict::Answered).has_value());
+    CHECK_FALSE(observe("a", call_verdict::Shed).has_value());
+    CHECK_FALSE(observe("a", call_verdict::Canceled).has_value());
+  }
+  auto Ejection = failUntilEjected();
+  CHECK(Ejection.has_value());
+  STRCMP_EQUAL("3 calls in a row failed", Ejection->Reason.c_str());
+}
+
+// Guards against a broken server that gets calls again every second for ever,
+// and against one that is punished for faults of long ago.
+TEST(outlier_detector, EjectionsGrowToABoundAndAreForgiven) {
+  std::chrono::milliseconds Expected = 1s;
+  for (int Count = 0; Count < 8; ++Count) {
+    auto Ejection = failUntilEjected();
+    CHECK(Ejection->Time == std::min(Expected, 60000ms));
+    CHECK(Table.find(node_id("a"))->isEjected(Clock.steadyNow()));
+    // Calls that were still under way do not prolong the ejection.
+    CHECK_FALSE(failUntilEjected().has_value());
+    Clock.advance(Ejection->Time);
+    CHECK_FALSE(Table.find(node_id("a"))->isEjected(Clock.steadyNow()));
+    Expected *= 2;
+  }
+  Clock.advance(60s);
+  CHECK(failUntilEjected()->Time == 1s);
+}
+
+// Guards against a server that answers without errors but far too slowly.
+TEST(outlier_detector, LatencyFarAboveTheMedianEjects) {
+  std::optional<ejection> Ejection;
+  for (int Count = 0; Count < 20 && !Ejection; ++Count) {
+    CHECK_FALSE(observe("b", call_verdict::Answered, 5ms).has_value());
+    CHECK_FALSE(observe("c", call_verdict::Answered, 6ms).has_value());
+    Ejection = observe("a", call_verdict::Answered, 60ms);
+  }
+  CHECK(Ejection.has_value());
+  STRCMP_EQUAL("latency 60000 us against a median of 6000 us",
+               Ejection->Reason.c_str());
+}
+
+// Guards against an ejection for a difference that callers cannot notice.
+TEST(outlier_detector, SmallDifferencesDoNotEject) {
+  for (int Count = 0; Count < 50; ++Count) {
+    CHECK_FALSE(observe("b", call_verdict::Answered, 1ms).has_value());
+    CHECK_FALSE(observe("c", call_verdict::Answered, 1ms).has_value());
+    CHECK_FALSE(observe("a", call_verdict::Answered, 15ms).has_value());
+  }
+}
--- /dev/null
+++ b/libs/routing/tests/retry_test.cpp
@@ -0,0 +1,92 @@
+#include "gentianlug/routing/call_limits.h"
+#include "gentianlug/routing/retry_rules.h"
+#include "gentianlug/routing/routing_errc.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::routing;
+using namespace std::chrono_literals;
+
+TEST_GROUP(retry) {
+  retry_budget Budget{0.1};
+  ended_try Try{try_outcome::Unknown, true, false, false, 1, 3, 1000ms};
+
+  bool decide() { return decideRetry(Try, Budget).Retry; }
+};
+
+// Guards against a non-idempotent call that runs twice (P9).
+TEST(retry, OnlyIdempotentOrNotRunCallsAreRetried) {
+  CHECK(decide());
+  Try.Idempotent = false;
+  CHECK_FALSE(decide());
+  Try.Outcome = try_outcome::NotRun;
+  CHECK(decide());
+  Try.Outcome = try_outcome::Answered;
+  CHECK_FALSE(decide());
+}
+
+// Guards against retries of retries, which multiply with each level of a call
+// chain.
+TEST(retry, NeitherRetriesNorForbiddenOrLateCallsAreRetried) {
+  Try.ArrivedAsRetry = true;
+  CHECK_FALSE(decide());
+  Try.ArrivedAsRetry = false;
+  Try.RetryForbidden = true;
+  CHECK_FALSE(decide());
+  Try.RetryForbidden = false;
+  Try.Tries = 3;
+  CHECK_FALSE(decide());
+  Try.Tries = 2;
+  Try.TimeLeft = 1ms;
+  CHECK_FALSE(decide());
+  Try.TimeLeft = 1000ms;
+  CHECK(decide());
+}
+
+// Guards against retries that double the load of a service that is failing:
+// attempts stay at 1.1 per call over any number of calls.
+TEST(retry, RetriesStayATenthOfFirstTries) {
+  int Retries = 0;
+  for (int Calls = 1; Calls <= 10000; ++Calls) {
+    Budget.onFirstTry();
+    Retries += decide() ? 1 : 0;
+    CHECK(Retries <= std::max(10, Calls / 10));
+  }
+  CHECK_EQUAL(1000, Retries);
+}
+
+// Guards against retries saved over a quiet day that all come at once.
+TEST(retry, SavedRetriesAreBounded) {
+  for (int Calls = 0; Calls < 100000; ++Calls)
+    Budget.onFirstTry();
+  int Retries = 0;
+  while (Retries < 1000 && decide())
+    ++Retries;
+  CHECK_EQUAL(100, Retries);
+}
+
+TEST_GROUP(call_limits) { manual_clock Clock; };
+
+// Guards against work that goes on after the first caller has given up.
+TEST(call_limits, TheDeadlineShrinksOnTheWay) {
+  steady_time Now = Clock.steadyNow();
+  auto Limits = limitCall({{}, 0}, 2000ms, Now);
+  CHECK(Limits->timeLeft(Now) == 2000ms);
+  Limits = limitCall({800ms, 3}, 2000ms, Now);
+  CHECK(Limits->timeLeft(Now + 100ms) == 700ms);
+  CHECK(Limits->timeForNextNode(Now + 100ms) == 695ms);
+  CHECK(Limits->timeForNextNode(Now + 780ms) == 18ms);
+  CHECK(Limits->timeLeft(Now + 900ms) == 0ms);
+  Limits = limitCall({9000ms, 0}, 2000ms, Now);
+  CHECK(Limits->timeLeft(Now) == 2000ms);
+  CHECK(limitCall({0ms, 0}, 2000ms, Now).failure().Code ==
+        make_error_code(routing_errc::DeadlinePassed));
+}
+
+// Guards against a loop of routes that calls itself for ever.
+TEST(call_limits, TheDepthIsBounded) {
+  CHECK_EQUAL(16u, limitCall({{}, 15}, 1s, Clock.steadyNow())->Depth);
+  CHECK(limitCall({{}, 16}, 1s, Clock.steadyNow()).failure().Code ==
+        make_error_code(routing_errc::TooDeep));
+}
