Decide admission to one backend server

The serving node passed every call on at once, so a server could be overloaded, a cold server got its full load, and a repeated order ran again.

libs/admission now decides: a concurrency limit that follows latency, a cold start allowance, a bounded queue by deadline with fair shares and shedding by priority, pacing of new connections, and a ledger that lets a non-idempotent call run at most once.

--- /dev/null
+++ b/libs/admission/include/gentianlug/admission/fair_shares.h
@@ -0,0 +1,43 @@
+#ifndef GENTIANLUG_ADMISSION_FAIR_SHARES_H
+#define GENTIANLUG_ADMISSION_FAIR_SHARES_H
+
+#include "gentianlug/config/model.h"
+
+#include <map>
+#include <vector>
+
+namespace gentianlug::admission {
+
+/// Customers with an account of their own; further ones share one account.
+inline constexpr std::size_t MaxCustomerAccounts = 1024;
+
+/// Start-time fair queueing between customers.
+///
+/// Each call moves the virtual time of its customer on by 1 / weight; the
+/// customer with the earliest virtual time is served next. A customer without
+/// calls earns no credit.
+class fair_shares {
+public:
+  /// Takes the weights; customers without one have weight 1.
+  void setCustomers(const std::vector<config::customer> &Customers);
+
+  /// Returns the virtual time at which the next call of \p Customer starts.
+  double nextStart(const customer_name &Customer) const;
+
+  /// Charges one call to \p Customer.
+  void charge(const customer_name &Customer);
+
+  double weight(const customer_name &Customer) const;
+
+private:
+  void dropIdle();
+
+  std::map<customer_name, double> Weights;
+  /// Virtual time at which the last call of each customer ends.
+  std::map<customer_name, double> Ends;
+  double VirtualNow = 0;
+};
+
+} // namespace gentianlug::admission
+
+#endif // GENTIANLUG_ADMISSION_FAIR_SHARES_H
--- /dev/null
+++ b/libs/admission/include/gentianlug/admission/gradient_limit.h
@@ -0,0 +1,26 @@
+#ifndef GENTIANLUG_ADMISSION_GRADIENT_LIMIT_H
+#define GENTIANLUG_ADMISSION_GRADIENT_LIMIT_H
+
+#include "gentianlug/admission/limit_policy.h"
+
+namespace gentianlug::admission {
+
+/// Concurrency limit that starts from the slots of the server and follows its
+/// latency: it shrinks while latency is above the usual one and recovers to
+/// the slots when latency is usual again.
+class gradient_limit final : public limit_policy {
+public:
+  void reset(std::uint32_t Slots, steady_time Now) override;
+  void onAnswer(const answer_sample &Sample) override;
+  std::uint32_t limit() const override { return std::uint32_t(Limit); }
+
+private:
+  double Slots = 1;
+  double Limit = 1;
+  /// Moving average of the latency ratio.
+  double Ratio = 1;
+};
+
+} // namespace gentianlug::admission
+
+#endif // GENTIANLUG_ADMISSION_GRADIENT_LIMIT_H
--- a/libs/admission/src/admission.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Keeps the library non-empty until its first decision lands.
--- /dev/null
+++ b/libs/admission/src/admission_control.cpp
@@ -0,0 +1,128 @@
+#include "gentianlug/admission/admission_control.h"
+
+#include <algorithm>
+
+namespace gentianlug::admission {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+const char *describe(refusal_reason Reason) {
+  switch (Reason) {
+  case refusal_reason::QueueFull:
+    return "the queue of the server is full";
+  case refusal_reason::DeadlineTooNear:
+    return "the deadline cannot be met";
+  }
+  return "";
+}
+
+admission_control::admission_control(std::unique_ptr<limit_policy> L)
+    : Limit(std::move(L)), Queue(0) {}
+
+void admission_control::onServer(const server_capacity &Next, steady_time Now) {
+  bool NewLife = Next.Incarnation > Capacity.Incarnation;
+  bool NewSize = Next.Slots != Capacity.Slots;
+  incarnation_number Latest = std::max(Next.Incarnation, Capacity.Incarnation);
+  Capacity = Next;
+  Capacity.Incarnation = Latest;
+  Queue.setBound(Capacity.QueueLength);
+  if (NewLife || NewSize)
+    restartCold(Now);
+}
+
+void admission_control::restartCold(steady_time Now) {
+  Limit->reset(Capacity.Slots, Now);
+  ColdStart.reset(Capacity.Slots, Now);
+}
+
+void admission_control::onIncarnation(incarnation_number Seen,
+                                      steady_time Now) {
+  // Answers of an earlier life may arrive late and change nothing.
+  if (Seen <= Capacity.Incarnation)
+    return;
+  Capacity.Incarnation = Seen;
+  restartCold(Now);
+}
+
+std::uint32_t admission_control::limit() const {
+  return std::min(Limit->limit(), ColdStart.limit());
+}
+
+microseconds admission_control::neededTime(const route_name &Route) const {
+  // Without calls in flight the estimate would never be corrected, so one
+  // call may always try.
+  return Started.empty() ? microseconds(0) : Baseline.needed(Route);
+}
+
+void admission_control::offer(const offered_call &Call, steady_time Now) {
+  microseconds Needed = neededTime(Call.Route);
+  auto Rounds = std::int64_t(Queue.size() / limit());
+  if (Now + Needed + Baseline.mean() * Rounds >= Call.Deadline) {
+    Refused.push_back({admission_action::kind::Refuse, Call.Ticket,
+                       refusal_reason::DeadlineTooNear});
+    return;
+  }
+  // A call that can start at once needs no place in the queue.
+  bool Free = Queue.size() == 0 && inFlight() < limit();
+  if (Free)
+    Queue.setBound(std::max<std::size_t>(1, Capacity.QueueLength));
+  auto Shed = Queue.push({Call.Ticket, Call.Customer, Call.Route, Call.Priority,
+                          Call.Deadline, Call.Deadline - Needed},
+                         Shares);
+  Queue.setBound(Capacity.QueueLength);
+  if (Shed)
+    Refused.push_back(
+        {admission_action::kind::Refuse, *Shed, refusal_reason::QueueFull});
+}
+
+void admission_control::onFirstByte(call_ticket Ticket, steady_time Now) {
+  auto Entry = Started.find(Ticket);
+  if (Entry != Started.end() && !Entry->second.Latency)
+    Entry->second.Latency =
+        duration_cast<microseconds>(Now - Entry->second.Time);
+}
+
+microseconds admission_control::finish(const finished_call &Call,
+                                       steady_time Now) {
+  auto Entry = Started.find(Call.Ticket);
+  if (Entry == Started.end())
+    return microseconds(0);
+  onFirstByte(Call.Ticket, Now);
+  started_call Ended = std::move(Entry->second);
+  Started.erase(Entry);
+  onIncarnation(Call.Incarnation, Now);
+  answer_sample Sample{Call.Failed, 1, false, Ended.InFlight, Ended.Time, Now};
+  // The latency of a failed call says nothing about the usual one.
+  if (!Call.Failed) {
+    auto Compared =
+        Baseline.add(Ended.Route, *Ended.Latency, ColdStart.warm(Now));
+    Sample.LatencyRatio = Compared.Ratio;
+    Sample.LatencyJump = Compared.Jump;
+  }
+  Limit->onAnswer(Sample);
+  ColdStart.onAnswer(Sample);
+  return *Ended.Latency;
+}
+
+void admission_control::withdraw(call_ticket Ticket) {
+  Queue.remove(Ticket);
+  Started.erase(Ticket);
+}
+
+std::vector<admission_action> admission_control::advance(steady_time Now) {
+  std::vector<admission_action> Actions = std::exchange(Refused, {});
+  for (call_ticket Ticket : Queue.takeExpired(Now))
+    Actions.push_back({admission_action::kind::Refuse, Ticket,
+                       refusal_reason::DeadlineTooNear});
+  while (inFlight() < limit()) {
+    auto Next = Queue.takeNext(Shares);
+    if (!Next)
+      break;
+    Started[Next->Ticket] = {Next->Route, Now, inFlight() + 1, {}};
+    Actions.push_back({admission_action::kind::Start, Next->Ticket, {}});
+  }
+  return Actions;
+}
+
+} // namespace gentianlug::admission
--- /dev/null
+++ b/libs/admission/src/call_ledger.cpp
@@ -0,0 +1,110 @@
+#include "gentianlug/admission/call_ledger.h"
+
+namespace gentianlug::admission {
+
+/// Memory of an entry beside id and answer: table node, expiry, bookkeeping.
+static constexpr std::size_t EntryBytes = 256;
+
+static std::size_t sizeOf(const recorded_answer &Answer) {
+  std::size_t Size = Answer.Body.size();
+  for (const auto &[Name, Value] : Answer.Headers)
+    Size += Name.size() + Value.size();
+  return Size;
+}
+
+bool call_ledger::hasRoom(std::size_t More) const {
+  return Bytes + More <= Bounds.MaxBytes;
+}
+
+void call_ledger::resize(entry &Entry, std::size_t Size) {
+  Bytes += Size - Entry.Bytes;
+  Entry.Bytes = Size;
+}
+
+void call_ledger::keep(const call_id &Id, entry &Entry, state State,
+                       steady_time Now) {
+  Entry.State = State;
+  Entry.Expiry = Now + Bounds.KeepTime;
+  Expiries.emplace_back(Entry.Expiry, Id);
+}
+
+void call_ledger::expire(steady_time Now) {
+  while (!Expiries.empty() && Expiries.front().first <= Now) {
+    auto Entry = Entries.find(Expiries.front().second);
+    // The entry may have a later expiry, or run again, since it was queued.
+    if (Entry != Entries.end() && Entry->second.State != state::Running &&
+        Entry->second.Expiry <= Now) {
+      Bytes -= Entry->second.Bytes;
+      Entries.erase(Entry);
+    }
+    Expiries.pop_front();
+  }
+}
+
+call_ledger::state call_ledger::begin(const call_id &Id, std::uint32_t Attempt,
+                                      steady_time Now) {
+  expire(Now);
+  auto Entry = Entries.find(Id);
+  if (Entry != Entries.end() && (Entry->second.State != state::Refused ||
+                                 Attempt <= Entry->second.RefusedUpTo))
+    return Entry->second.State;
+  std::size_t Reserved = EntryBytes + Id.str().size() + Bounds.MaxAnswerBytes;
+  if (!hasRoom(Reserved))
+    return state::Full;
+  entry &Running = Entries[Id];
+  Running.State = state::Running;
+  resize(Running, Reserved);
+  return state::Started;
+}
+
+void call_ledger::finish(const call_id &Id, recorded_answer Answer,
+                         steady_time Now) {
+  auto Entry = Entries.find(Id);
+  if (Entry == Entries.end() || Entry->second.State != state::Running)
+    return;
+  std::size_t Size = sizeOf(Answer);
+  bool Kept = Size <= Bounds.MaxAnswerBytes;
+  resize(Entry->second, EntryBytes + Id.str().size() + (Kept ? Size : 0));
+  if (Kept)
+    Entry->second.Answer = std::move(Answer);
+  keep(Id, Entry->second, Kept ? state::Answered : state::AnswerDropped, Now);
+}
+
+void call_ledger::abandon(const call_id &Id, steady_time Now) {
+  auto Entry = Entries.find(Id);
+  if (Entry == Entries.end() || Entry->second.State != state::Running)
+    return;
+  if (Entry->second.RefusedUpTo > 0) {
+    resize(Entry->second, EntryBytes + Id.str().size());
+    return keep(Id, Entry->second, state::Refused, Now);
+  }
+  Bytes -= Entry->second.Bytes;
+  Entries.erase(Entry);
+}
+
+call_ledger::state call_ledger::ask(const call_id &Id, std::uint32_t Attempt,
+                                    steady_time Now) {
+  expire(Now);
+  auto Known = Entries.find(Id);
+  if (Known != Entries.end() && Known->second.State != state::Refused)
+    return Known->second.State;
+  if (Known != Entries.end() && Known->second.RefusedUpTo >= Attempt)
+    return state::Refused;
+  std::size_t Size = EntryBytes + Id.str().size();
+  if (Known == Entries.end() && !hasRoom(Size))
+    return state::Full;
+  entry &Entry = Entries[Id];
+  Entry.RefusedUpTo = std::max(Entry.RefusedUpTo, Attempt);
+  resize(Entry, Size);
+  keep(Id, Entry, state::Refused, Now);
+  return state::Refused;
+}
+
+const recorded_answer *call_ledger::answer(const call_id &Id) const {
+  auto Entry = Entries.find(Id);
+  bool Answered =
+      Entry != Entries.end() && Entry->second.State == state::Answered;
+  return Answered ? &Entry->second.Answer : nullptr;
+}
+
+} // namespace gentianlug::admission
--- /dev/null
+++ b/libs/admission/tests/latency_baseline_test.cpp
@@ -0,0 +1,48 @@
+#include "gentianlug/admission/latency_baseline.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::admission;
+using std::chrono::microseconds;
+
+TEST_GROUP(latency_baseline) {
+  latency_baseline Baseline;
+  route_name Fast{"fast"};
+  route_name Slow{"slow"};
+
+  void learn(const route_name &Route, int Micros) {
+    for (int Call = 0; Call < 200; ++Call)
+      Baseline.add(Route, microseconds(Micros), true);
+  }
+};
+
+// Guards against a slow route that looks like a slow server.
+TEST(latency_baseline, ComparesEachRouteWithItself) {
+  learn(Fast, 2000);
+  learn(Slow, 80000);
+  CHECK_FALSE(Baseline.add(Slow, microseconds(81000), true).Jump);
+  CHECK(Baseline.add(Fast, microseconds(40000), true).Jump);
+}
+
+// Guards against a delay of the scheduler that counts as a jump.
+TEST(latency_baseline, SmallExcessIsNoJump) {
+  learn(Fast, 1000);
+  CHECK_FALSE(Baseline.add(Fast, microseconds(4000), true).Jump);
+}
+
+// Guards against a cold server whose slowness becomes the usual latency.
+TEST(latency_baseline, ColdLatenciesDoNotRaiseTheUsualOne) {
+  learn(Fast, 10000);
+  for (int Call = 0; Call < 10000; ++Call)
+    Baseline.add(Fast, microseconds(30000), false);
+  CHECK(Baseline.add(Fast, microseconds(30000), false).Jump);
+}
+
+// Guards against an estimate that calls with a usual spread exceed.
+TEST(latency_baseline, NeededTimeCoversTheSpread) {
+  CHECK_EQUAL(0, Baseline.needed(Fast).count());
+  for (int Call = 0; Call < 400; ++Call)
+    Baseline.add(Fast, microseconds(Call % 2 ? 8000 : 12000), true);
+  CHECK(Baseline.needed(Fast) >= microseconds(12000));
+}
--- /dev/null
+++ b/libs/admission/tests/ledger_schedule_test.cpp
@@ -0,0 +1,129 @@
+#include "gentianlug/admission/call_ledger.h"
+#include "gentianlug/core/random.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+// After the standard headers, since it redefines new.
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::admission;
+using state = call_ledger::state;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// One serving node and the network in front of it. Messages are delivered in
+/// random order, repeated and delayed; answers are lost. Entry nodes behave as
+/// the protocol asks: they ask before they send a further attempt.
+struct schedule {
+  struct message {
+    call_id Id;
+    std::uint32_t Attempt = 1;
+    bool Question = false;
+  };
+
+  generator Gen;
+  manual_clock Clock;
+  // Small bounds, so that the ledger also runs full.
+  call_ledger Ledger{{64, 6000, std::chrono::seconds(60)}};
+  std::vector<message> Network;
+  std::vector<call_id> Running;
+  std::map<call_id, int> Ran;
+  /// Latest attempt of each call that the node declared as not run.
+  std::map<call_id, std::uint32_t> Refused;
+  std::map<call_id, std::uint32_t> LastAttempt;
+  int Calls = 0;
+  int Fulls = 0;
+
+  explicit schedule(std::uint64_t Seed) : Gen(Seed) {}
+
+  void send() {
+    call_id Id("c" + std::to_string(Calls++));
+    LastAttempt[Id] = 1;
+    Network.push_back({Id, 1, false});
+  }
+
+  void deliver() {
+    std::size_t Index = drawIndex(Gen, Network.size());
+    message Message = Network[Index];
+    // A message that stays in the network arrives again later.
+    if (drawChance(Gen, 0.7)) {
+      Network[Index] = Network.back();
+      Network.pop_back();
+    }
+    if (Message.Question)
+      onQuestion(Message);
+    else
+      onCall(Message);
+  }
+
+  void onCall(const message &Message) {
+    state State = Ledger.begin(Message.Id, Message.Attempt, Clock.steadyNow());
+    Fulls += State == state::Full;
+    if (State != state::Started) {
+      if (drawChance(Gen, 0.5))
+        Network.push_back({Message.Id, LastAttempt[Message.Id], true});
+      return;
+    }
+    if (drawChance(Gen, 0.1))
+      return Ledger.abandon(Message.Id, Clock.steadyNow());
+    auto Limit = Refused.find(Message.Id);
+    CHECK(Limit == Refused.end() || Message.Attempt > Limit->second);
+    CHECK_EQUAL(1, ++Ran[Message.Id]);
+    Running.push_back(Message.Id);
+  }
+
+  void onQuestion(const message &Message) {
+    state State = Ledger.ask(Message.Id, Message.Attempt, Clock.steadyNow());
+    if (State != state::Refused)
+      return;
+    CHECK_EQUAL(0, Ran[Message.Id]);
+    std::uint32_t &Latest = Refused[Message.Id];
+    Latest = std::max(Latest, Message.Attempt);
+    // The reply may be lost; else the entry node sends a further attempt.
+    if (drawChance(Gen, 0.5) && LastAttempt[Message.Id] <= Message.Attempt &&
+        Message.Attempt < 5) {
+      LastAttempt[Message.Id] = Message.Attempt + 1;
+      Network.push_back({Message.Id, Message.Attempt + 1, false});
+    }
+  }
+
+  void finishOne() {
+    std::size_t Index = drawIndex(Gen, Running.size());
+    Ledger.finish(Running[Index], {200, {}, "ok"}, Clock.steadyNow());
+    Running.erase(Running.begin() + std::ptrdiff_t(Index));
+  }
+
+  void step() {
+    Clock.advance(milliseconds(drawIndex(Gen, 20)));
+    std::size_t Choice = drawIndex(Gen, 4);
+    if (Choice == 0 && Calls < 200)
+      send();
+    else if (Choice == 1 && !Running.empty())
+      finishOne();
+    else if (!Network.empty())
+      deliver();
+  }
+};
+
+} // namespace
+
+TEST_GROUP(ledger_schedule){};
+
+// Guards against a call that runs twice, and against a call that runs after
+// it was declared as not run, under repeated, late and reordered messages and
+// lost answers. A run stays within the time that entries are kept.
+TEST(ledger_schedule, CallsRunAtMostOnceAndRefusedIdsNeverRun) {
+  int Fulls = 0;
+  for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
+    schedule Schedule(Seed);
+    for (int Step = 0; Step < 3000; ++Step)
+      Schedule.step();
+    Fulls += Schedule.Fulls;
+    CHECK_EQUAL(200, Schedule.Calls);
+  }
+  CHECK(Fulls > 0);
+}
