--- /dev/null
+++ b/libs/rollout/tests/candidacy_test.cpp
@@ -0,0 +1,47 @@
+#include "gentianlug/rollout/candidacy.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::rollout;
+using namespace std::chrono_literals;
+
+TEST_GROUP(candidacy) {
+  manual_clock Clock;
+  generator Gen{5};
+  candidacy Candidacy;
+  steering_notice Notice;
+
+  void setup() override {
+    Notice.Epoch = 2;
+    Notice.Held = true;
+    Candidacy.start(Clock.steadyNow(), Gen);
+  }
+
+  bool notify() { return Candidacy.onNotice(Clock.steadyNow(), Notice, Gen); }
+};
+
+// Guards against candidates that read the lease while a controller works, and
+// against a dead controller that nobody replaces.
+TEST(candidacy, contendsOnlyWithoutNotices) {
+  for (int Second = 0; Second < 60; ++Second) {
+    CHECK_TRUE(notify());
+    Clock.advance(1s);
+    CHECK_FALSE(Candidacy.contends(Clock.steadyNow()));
+  }
+  Clock.advance(ControllerSilence + LongestCandidateDelay);
+  CHECK_TRUE(Candidacy.contends(Clock.steadyNow()));
+}
+
+// Guards against a controller without its lease that keeps others from taking
+// over, and against a paused former holder whose notices count.
+TEST(candidacy, onlyTheNewestHolderCounts) {
+  Clock.advance(LongestCandidateDelay);
+  Notice.Held = false;
+  CHECK_TRUE(notify());
+  CHECK_TRUE(Candidacy.contends(Clock.steadyNow()));
+  Notice.Epoch = 1;
+  Notice.Held = true;
+  CHECK_FALSE(notify());
+  CHECK_TRUE(Candidacy.contends(Clock.steadyNow()));
+}
--- a/libs/wire/include/gentianlug/wire/rollout_values.h
+++ b/libs/wire/include/gentianlug/wire/rollout_values.h
@@ -4,6 +4,7 @@
 #include "gentianlug/core/result.h"
 #include "gentianlug/rollout/evidence.h"
 #include "gentianlug/rollout/rollout_state.h"
+#include "gentianlug/rollout/steering_notice.h"
 
 #include <string>
 #include <string_view>
@@ -18,6 +19,10 @@
 result<rollout::server_evidence> decodeServerEvidence(std::string_view Text);
 std::string encode(const rollout::server_evidence &Evidence);
 
+/// Decodes the body of `POST /v1/steering`.
+result<rollout::steering_notice> decodeSteeringNotice(std::string_view Text);
+std::string encode(const rollout::steering_notice &Notice);
+
 } // namespace gentianlug::wire
 
 #endif // GENTIANLUG_WIRE_ROLLOUT_VALUES_H
--- a/libs/wire/src/rollout_values.cpp
+++ b/libs/wire/src/rollout_values.cpp
@@ -130,4 +130,27 @@
       .dump();
 }
 
+static rollout::steering_notice readNotice(object_reader &Reader) {
+  rollout::steering_notice Notice;
+  Notice.RolloutId = Reader.text("rollout");
+  Notice.Service = service_name(Reader.text("service"));
+  Notice.Epoch = detail::readUnsigned(Reader, "epoch");
+  Notice.Held = Reader.flag("held", false);
+  Notice.CutReason = Reader.text("cut_reason", "");
+  return Notice;
+}
+
+result<rollout::steering_notice> decodeSteeringNotice(std::string_view Text) {
+  return detail::decodeObject(Text, "steering", readNotice);
+}
+
+std::string encode(const rollout::steering_notice &Notice) {
+  return json{{"rollout", Notice.RolloutId},
+              {"service", Notice.Service.str()},
+              {"epoch", Notice.Epoch},
+              {"held", Notice.Held},
+              {"cut_reason", Notice.CutReason}}
+      .dump();
+}
+
 } // namespace gentianlug::wire
--- a/libs/wire/tests/rollout_values_test.cpp
+++ b/libs/wire/tests/rollout_values_test.cpp
@@ -42,3 +42,12 @@
   Text.insert(Text.find("\"latencies\":[") + 13, "0,");
   CHECK_FALSE(bool(decodeServerEvidence(Text)));
 }
+
+// Guards against a cut that is lost on its way to the node beside the server.
+TEST(rollout_values, NoticeRoundTrip) {
+  rollout::steering_notice Notice{"commandes@v2@1", service_name("commandes"),
+                                  4, true, "errors"};
+  auto Decoded = decodeSteeringNotice(encode(Notice));
+  CHECK(bool(Decoded));
+  CHECK(Notice == *Decoded);
+}
