--- a/libs/distribution/include/gentianlug/distribution/node_state.h
+++ b/libs/distribution/include/gentianlug/distribution/node_state.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLUG_DISTRIBUTION_NODE_STATE_H
 #define GENTIANLUG_DISTRIBUTION_NODE_STATE_H
 
+#include "gentianlug/config/assembler.h"
 #include "gentianlug/distribution/change_log.h"
 #include "gentianlug/distribution/config_history.h"
 #include "gentianlug/distribution/sync_messages.h"
@@ -134,6 +135,7 @@
   membership::member_table Members;
   std::map<std::string, live_value> Live;
   config_history History;
+  config::assembler Assembler;
   std::shared_ptr<const config::versioned_configuration> InForce;
   config_version Refused = 0;
   change_log Log;
--- a/libs/distribution/src/node_state.cpp
+++ b/libs/distribution/src/node_state.cpp
@@ -105,7 +105,7 @@
   // the next poll states the version held and gets another update.
   if (!Image && Update.Base != version())
     return;
-  auto Assembled = Image ? config::assemble(Image->Parts, Image->RootHash)
+  auto Assembled = Image ? Assembler.assemble(Image->Parts, Image->RootHash)
                          : result<config::site_configuration>(Image.failure());
   if (!Assembled) {
     refuse(Update.Version);
--- a/libs/node/src/config_fetcher.cpp
+++ b/libs/node/src/config_fetcher.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/node/config_fetcher.h"
 
+#include "gentianlug/config/assembler.h"
 #include "gentianlug/config/config_errc.h"
 #include "gentianlug/platform/keys.h"
 #include "gentianlug/platform/platform_errc.h"
@@ -18,6 +19,7 @@
   site_name Site;
   /// Parts of the last complete version, by hash.
   std::map<std::string, std::string> Known;
+  config::assembler Assembler;
 
   std::uint64_t Generation = 0;
   platform::config_head Head;
@@ -95,7 +97,7 @@
     fetched_configuration Fetched;
     for (const auto &[Name, Hash] : Manifest.Parts)
       Fetched.Parts.emplace(Name, config::part{Hash, Texts[Hash]});
-    auto Assembled = config::assemble(Fetched.Parts, Manifest.RootHash);
+    auto Assembled = Assembler.assemble(Fetched.Parts, Manifest.RootHash);
     if (!Assembled)
       return finish(Assembled.failure());
     auto Versioned = std::make_shared<config::versioned_configuration>();
--- a/libs/node/src/control_task.cpp
+++ b/libs/node/src/control_task.cpp
@@ -15,8 +15,11 @@
 
 #include <algorithm>
 #include <ctime>
+#include <deque>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <unistd.h>
 
 namespace gentianlug::node {
 
@@ -45,6 +48,9 @@
 static constexpr milliseconds RootDrainDelay{100};
 static constexpr milliseconds LeaveDelay{100};
 
+/// Versions whose time the status shows.
+static constexpr std::size_t MaxRecent = 16;
+
 /// Reports between two tries to return to the own zone.
 static constexpr unsigned ReturnRounds = 5;
 
@@ -88,13 +94,16 @@
   net::timer DrainTimer;
   net::timer LeaveTimer;
   bool PublishPending = false;
+  /// Whether the members changed since the last snapshot.
+  bool MembersChanged = false;
   /// Whether the startup gate has opened.
   bool Serving = false;
   routing_snapshot Snapshot;
   steady_time LastAnnouncement{};
   member_record Own;
   std::vector<refusal_report> Refusals;
-  wall_time InForceAt;
+  /// When the last versions came into force, oldest first.
+  std::deque<std::pair<config_version, wall_time>> Recent;
   /// Whether the last search trusted the seed peers. A search that follows it
   /// found their relays silent and asks the platform.
   bool SeedsTrusted = false;
@@ -377,13 +386,14 @@
     if (Outcome.Refusal)
       onRefused(*Outcome.Refusal);
     if (Outcome.ConfigChanged) {
-      InForceAt = Clock.wallNow();
+      noteInForce();
       logEvent(event::ConfigInForce,
                "version " + std::to_string(State.version()));
       Relay.onReportChanged();
     }
     if (Outcome.LiveChanged)
       decodeLive();
+    MembersChanged = MembersChanged || Outcome.MembersChanged;
     if (!Outcome.ConfigChanged && !Outcome.LiveChanged &&
         !Outcome.MembersChanged)
       return;
@@ -397,6 +407,12 @@
       PublishTimer.startOnce(PublishDelay);
   }
 
+  void noteInForce() {
+    Recent.emplace_back(State.version(), Clock.wallNow());
+    if (Recent.size() > MaxRecent)
+      Recent.pop_front();
+  }
+
   void onRefused(const refusal_report &Refusal) {
     logEvent(event::ConfigRefused, "version " +
                                        std::to_string(Refusal.Version) + ": " +
@@ -449,8 +465,9 @@
     PublishPending = false;
     if (Serving)
       Snapshot.Configuration = State.configuration();
-    Snapshot.Members = std::make_shared<const std::vector<member_record>>(
-        State.members().serving());
+    if (std::exchange(MembersChanged, false))
+      Snapshot.Members = std::make_shared<const std::vector<member_record>>(
+          State.members().serving());
     Outputs.Routing(std::make_shared<const routing_snapshot>(Snapshot));
     Outputs.Rollouts({Snapshot.Configuration, Snapshot.Rollouts});
     reportStatus();
@@ -538,10 +555,32 @@
     Metrics.gauge("gentianlug_control_bytes_total",
                   double(Listener.bytes() + Parent.bytes() + Exchange.bytes() +
                          Seeds.bytes()));
+    Metrics.gauge("gentianlug_resident_bytes", residentBytes());
     Metrics.gauge("gentianlug_control_cpu_seconds_total",
                   std::chrono::duration<double>(threadTime()).count());
   }
 
+  static std::int64_t toMillis(wall_time Time) {
+    return std::chrono::duration_cast<milliseconds>(Time.time_since_epoch())
+        .count();
+  }
+
+  nlohmann::json recentToJson() const {
+    nlohmann::json Versions = nlohmann::json::array();
+    for (const auto &[Version, At] : Recent)
+      Versions.push_back(
+          {{"version", Version}, {"in_force_at_ms", toMillis(At)}});
+    return Versions;
+  }
+
+  static double residentBytes() {
+    std::ifstream File("/proc/self/statm");
+    double Total = 0;
+    double Resident = 0;
+    File >> Total >> Resident;
+    return Resident * double(sysconf(_SC_PAGESIZE));
+  }
+
   void reportStatus() {
     measure();
     task_report Report;
@@ -551,9 +590,8 @@
         {"node", Settings.Node.str()},
         {"availability_zone", Settings.Zone.str()},
         {"config_version", State.version()},
-        {"in_force_at_ms",
-         std::chrono::duration_cast<milliseconds>(InForceAt.time_since_epoch())
-             .count()},
+        {"in_force_at_ms", Recent.empty() ? 0 : toMillis(Recent.back().second)},
+        {"recent", recentToJson()},
         {"members", State.members().size()},
         {"zones_out", Snapshot.ZonesOut.size()},
         {"rollouts", Snapshot.Rollouts.size()},
