Shorten polls and test the distribution decisions

Other root relays get a version from here only when they did not read it from the platform within 400 ms.

--- a/libs/distribution/include/gentianlug/distribution/config_history.h
+++ b/libs/distribution/include/gentianlug/distribution/config_history.h
@@ -27,9 +27,11 @@
 
 /// A changed part: the text between a common front and a common back of the
 /// old text. A part without an old text keeps nothing.
+///
+/// It has no hash of its own: the root hash of the update covers the hashes of
+/// all parts, and they are computed from the resulting texts.
 struct part_patch {
   std::string Name;
-  std::string Hash;
   std::size_t KeepFront = 0;
   std::size_t KeepBack = 0;
   std::string Insert;
--- a/libs/distribution/include/gentianlug/distribution/sync_messages.h
+++ b/libs/distribution/include/gentianlug/distribution/sync_messages.h
@@ -33,7 +33,9 @@
   Probe,
 };
 
-/// Body of `POST /v1/sync`.
+/// Body of `POST /v1/sync`. The first poll of a peer names its zone, life and
+/// control listener; further ones name only the node, because polls are most
+/// of the control traffic.
 struct sync_request {
   peer_identity From;
   sync_role Role = sync_role::Child;
@@ -43,7 +45,8 @@
   /// Newest version that the sender refused; it is not sent again.
   config_version Refused = 0;
   std::uint64_t Digest = 0;
-  tree_report Report;
+  /// Nothing when it is the same as in the poll before.
+  std::optional<tree_report> Report;
 };
 
 /// A value below `live/` on the platform, without the configuration head; no
@@ -58,6 +61,7 @@
 
 /// What is new for the sender of a request.
 struct state_update {
+  /// Epoch 0 stands for the epoch of the request.
   log_cursor Cursor;
   /// Whether this is everything instead of the changes since the cursor.
   bool Snapshot = false;
@@ -74,11 +78,12 @@
 struct sync_response {
   state_update Update;
   /// Nodes from the root relay to the answering one; empty when it has no way
-  /// to a root.
-  std::vector<node_id> Path;
+  /// to a root. Nothing when it is the same as in the response before.
+  std::optional<std::vector<node_id>> Path;
   /// Relay slot of the zone that the receiver shall take.
   std::optional<std::uint32_t> FreeSlot;
-  /// Newest configuration version that the sender knows.
+  /// Newest configuration version that the sender knows; 0 when it is the one
+  /// that the request names.
   config_version Version = 0;
 };
 
--- a/libs/distribution/src/child_table.cpp
+++ b/libs/distribution/src/child_table.cpp
@@ -55,16 +55,20 @@
 bool child_table::onPoll(const sync_request &Request, steady_time Now) {
   auto Entry = Children.find(Request.From.Node);
   if (Entry == Children.end()) {
-    if (Children.size() >= MaxChildren)
+    // A further poll without a control address is of a child that was removed.
+    if (Children.size() >= MaxChildren || Request.From.Control.Host.empty())
       return false;
     Entry = Children.emplace(Request.From.Node, child{}).first;
   }
   child &Child = Entry->second;
-  Child.Control = Request.From.Control;
-  Child.Incarnation = Request.From.Incarnation;
+  if (!Request.From.Control.Host.empty()) {
+    Child.Control = Request.From.Control;
+    Child.Incarnation = Request.From.Incarnation;
+  }
   Child.LastSeen = Now;
   Child.Waiting = true;
-  Child.Report = Request.Report;
+  if (Request.Report)
+    Child.Report = *Request.Report;
   return true;
 }
 
--- /dev/null
+++ b/libs/distribution/tests/schedule_test.cpp
@@ -0,0 +1,200 @@
+#include "config_samples.h"
+#include "gentianlug/core/random.h"
+#include "gentianlug/distribution/node_state.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::distribution;
+using namespace std::chrono_literals;
+using membership::member_record;
+using membership::member_state;
+
+namespace {
+
+/// One simulated node: its state, what it has read, and what it promised.
+struct sim_node {
+  node_id Name;
+  std::unique_ptr<node_state> State;
+  std::map<std::size_t, log_cursor> Cursors;
+  std::uint64_t Lives = 0;
+  config_version HighestInForce = 0;
+  object_revision HighestLive = 0;
+};
+
+/// A message on its way; it may be delivered late, twice or never.
+struct sim_message {
+  std::size_t From = 0;
+  std::size_t To = 0;
+  state_update Update;
+};
+
+/// A few nodes whose exchanges are lost, repeated, delayed and reordered, and
+/// that crash, by a seeded generator.
+class simulation {
+public:
+  explicit simulation(std::uint64_t Seed) : Gen(Seed), Nodes(Count) {
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      restart(Index);
+  }
+
+  void step() {
+    Clock.advance(std::chrono::milliseconds(drawIndex(Gen, 200)));
+    switch (drawIndex(Gen, 10)) {
+    case 0:
+      return accept();
+    case 1:
+      return changeOwn(drawIndex(Gen, Count));
+    case 2:
+      if (drawChance(Gen, 0.2))
+        restart(drawIndex(Gen, Count));
+      return;
+    case 3:
+    case 4:
+    case 5:
+      return ask(drawIndex(Gen, Count), drawIndex(Gen, Count));
+    default:
+      return deliver();
+    }
+  }
+
+  /// Lets every node exchange with every other one until nothing is on its way.
+  void settle() {
+    InFlight.clear();
+    for (int Round = 0; Round < 4; ++Round)
+      for (std::size_t To = 0; To < Count; ++To)
+        for (std::size_t From = 0; From < Count; ++From) {
+          // As after the repair of a differing digest.
+          state_update Update =
+              Nodes[From].State->updateFor(request(To, From), true);
+          apply({From, To, Update});
+        }
+  }
+
+  void checkAgreement() {
+    for (const sim_node &Node : Nodes) {
+      CHECK_EQUAL(Accepted, Node.State->version());
+      CHECK(Node.State->members().digest() ==
+            Nodes[0].State->members().digest());
+      CHECK(Node.State->live() == Nodes[0].State->live());
+    }
+  }
+
+private:
+  static constexpr std::size_t Count = 5;
+
+  void restart(std::size_t Index) {
+    sim_node &Node = Nodes[Index];
+    Node.Name = node_id("n" + std::to_string(Index));
+    ++Node.Lives;
+    Node.State = std::make_unique<node_state>(Node.Name, Node.Lives);
+    Node.Cursors.clear();
+    changeOwn(Index);
+    // The startup gate: the parent has read the platform, and the peers answer.
+    if (Accepted > 0)
+      putInForce(Node, Accepted);
+    for (std::size_t Peer = 0; Peer < Count; ++Peer)
+      if (Peer != Index && Nodes[Peer].State)
+        apply({Peer, Index,
+               Nodes[Peer].State->updateFor(request(Index, Peer), true)});
+  }
+
+  void accept() { putInForce(Nodes[drawIndex(Gen, 2)], ++Accepted); }
+
+  void putInForce(sim_node &Node, config_version Version) {
+    config_image Image = sampleImage(Version);
+    RootHashes[Version] = Image.RootHash;
+    auto Versioned = std::make_shared<config::versioned_configuration>();
+    Versioned->Version = Version;
+    Versioned->RootHash = Image.RootHash;
+    Node.State->putInForce(std::move(Image), Versioned);
+    Node.State->applyLive({{"live/zones", Version, std::to_string(Version)}},
+                          update_source::Above);
+    checkNode(Node);
+  }
+
+  void changeOwn(std::size_t Index) {
+    member_record Own;
+    Own.Node = Nodes[Index].Name;
+    Own.Incarnation = Nodes[Index].Lives;
+    Own.State =
+        drawChance(Gen, 0.5) ? member_state::Serving : member_state::NoServer;
+    Nodes[Index].State->setOwn(Own, Clock.steadyNow());
+  }
+
+  sync_request request(std::size_t To, std::size_t From) {
+    sync_request Request;
+    Request.From.Node = Nodes[To].Name;
+    Request.Cursor = Nodes[To].Cursors[From];
+    Request.Version = Nodes[To].State->version();
+    return Request;
+  }
+
+  void ask(std::size_t To, std::size_t From) {
+    if (To == From || drawChance(Gen, 0.2))
+      return;
+    sim_message Message{From, To,
+                        Nodes[From].State->updateFor(request(To, From), false)};
+    InFlight.push_back(Message);
+    if (drawChance(Gen, 0.2))
+      InFlight.push_back(std::move(Message));
+  }
+
+  void deliver() {
+    if (InFlight.empty())
+      return;
+    std::swap(InFlight[drawIndex(Gen, InFlight.size())], InFlight.back());
+    sim_message Message = std::move(InFlight.back());
+    InFlight.pop_back();
+    apply(Message);
+  }
+
+  void apply(const sim_message &Message) {
+    sim_node &Node = Nodes[Message.To];
+    update_outcome Outcome = Node.State->apply(
+        Message.Update, update_source::Above, Clock.steadyNow());
+    Node.Cursors[Message.From] = Message.Update.Cursor;
+    // A delayed delta may not fit any more, but no version here is bad.
+    CHECK_FALSE(Outcome.Refusal.has_value());
+    Nodes[Message.From].State->applyMembers(
+        Outcome.Missing, update_source::Below, Clock.steadyNow());
+    checkNode(Node);
+  }
+
+  /// The promises: a version never goes back and is never partial.
+  void checkNode(sim_node &Node) {
+    CHECK(Node.State->version() >= Node.HighestInForce);
+    Node.HighestInForce = Node.State->version();
+    if (const auto &InForce = Node.State->configuration(); InForce)
+      STRCMP_EQUAL(RootHashes.at(InForce->Version).c_str(),
+                   InForce->RootHash.c_str());
+    auto Live = Node.State->live().find("live/zones");
+    object_revision Revision =
+        Live == Node.State->live().end() ? 0 : Live->second.Revision;
+    CHECK(Revision >= Node.HighestLive);
+    Node.HighestLive = Revision;
+  }
+
+  manual_clock Clock;
+  generator Gen;
+  std::vector<sim_node> Nodes;
+  std::vector<sim_message> InFlight;
+  config_version Accepted = 0;
+  std::map<config_version, std::string> RootHashes;
+};
+
+} // namespace
+
+TEST_GROUP(schedule){};
+
+// Guards against any order of losses, repetitions, delays and crashes that
+// makes a version go back, mixes two versions, or leaves nodes apart for ever.
+TEST(schedule, PromisesHoldUnderRandomSchedules) {
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    simulation Simulation(Seed);
+    for (int Step = 0; Step < 300; ++Step)
+      Simulation.step();
+    Simulation.settle();
+    Simulation.checkAgreement();
+  }
+}
--- /dev/null
+++ b/libs/distribution/tests/tree_attachment_test.cpp
@@ -0,0 +1,154 @@
+#include "gentianlug/distribution/relay_directory.h"
+#include "gentianlug/distribution/startup_gate.h"
+#include "gentianlug/distribution/tree_attachment.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::distribution;
+using namespace std::chrono_literals;
+using verdict = attach_response::verdict;
+
+TEST_GROUP(tree_attachment) {
+  manual_clock Clock;
+  generator Gen{3};
+  tree_attachment Attachment{node_id("self"), zone_name("z1")};
+
+  static relay_entry relay(const char *Node, const char *Zone,
+                           std::uint16_t Port) {
+    return {node_id(Node), zone_name(Zone), {"127.0.0.1", Port}};
+  }
+
+  attach_action next() {
+    Clock.advance(10s);
+    return Attachment.next(Clock.steadyNow());
+  }
+
+  void find(const std::vector<relay_entry> &Relays) {
+    CHECK(next().Operation == attach_operation::FindRelays);
+    Attachment.onRelays(Relays, Clock.steadyNow(), Gen);
+  }
+
+  void answer(verdict Verdict, std::vector<node_id> Path,
+              std::uint16_t RedirectTo = 0) {
+    CHECK(next().Operation == attach_operation::Attach);
+    Attachment.onAttachAnswer(
+        {Verdict, std::move(Path), {"127.0.0.1", RedirectTo}, 100ms},
+        Clock.steadyNow(), Gen);
+  }
+};
+
+// Guards against nodes that use a far relay although one of their own zone is
+// there, and against giving up when that one is silent.
+TEST(tree_attachment, OwnZoneComesFirstAndOtherZonesServeMeanwhile) {
+  find({relay("far", "z2", 2), relay("near", "z1", 1)});
+  attach_action First = next();
+  CHECK_EQUAL(1, First.Target.Port);
+  Attachment.onAttachFailed(Clock.steadyNow(), Gen);
+  CHECK(Attachment.ownZoneSilent());
+  CHECK_EQUAL(2, next().Target.Port);
+}
+
+// Guards against relays that redirect for ever, and against a redirect that is
+// not followed.
+TEST(tree_attachment, RedirectsAreFollowedUpToABound) {
+  find({relay("near", "z1", 1)});
+  for (unsigned Count = 0; Count < MaxRedirects; ++Count)
+    answer(verdict::Redirected, {node_id("near")}, std::uint16_t(10 + Count));
+  answer(verdict::Redirected, {node_id("near")}, 99);
+  CHECK(next().Operation == attach_operation::FindRelays);
+}
+
+// Guards against a ring of nodes that are one another's ancestors.
+TEST(tree_attachment, ParentBelowThisNodeIsLeft) {
+  find({relay("near", "z1", 1)});
+  answer(verdict::Admitted, {node_id("near")});
+  CHECK(next().Operation == attach_operation::Poll);
+  Attachment.onPollAnswer({node_id("near"), node_id("self")}, Clock.steadyNow(),
+                          Gen);
+  CHECK_FALSE(Attachment.attached());
+}
+
+// Guards against children that all arrive at another relay at the same moment,
+// and against a subtree that is torn apart when its parent moves.
+TEST(tree_attachment, LostParentIsReplacedAndAMovingOneIsKept) {
+  find({relay("near", "z1", 1), relay("next", "z1", 2)});
+  answer(verdict::Admitted, {node_id("near")});
+  Attachment.next(Clock.steadyNow());
+  Attachment.onPollAnswer({}, Clock.steadyNow(), Gen);
+  CHECK(Attachment.attached());
+  Attachment.next(Clock.steadyNow());
+  Attachment.onPollFailed(Clock.steadyNow(), Gen);
+  CHECK_FALSE(Attachment.attached());
+  CHECK(Attachment.next(Clock.steadyNow()).Operation == attach_operation::Wait);
+  CHECK(next().Operation == attach_operation::Attach);
+}
+
+// Guards against a detached parent that keeps its subtree for ever.
+TEST(tree_attachment, ParentWithoutAWayToARootIsLeftAfterAWhile) {
+  find({relay("near", "z1", 1)});
+  answer(verdict::Admitted, {node_id("near")});
+  CHECK(next().Operation == attach_operation::Poll);
+  Attachment.onPollAnswer({}, Clock.steadyNow(), Gen);
+  CHECK_FALSE(Attachment.attached());
+}
+
+TEST_GROUP(startup_gate) { manual_clock Clock; };
+
+// Guards against a restarted node that serves an older version than a peer has.
+TEST(startup_gate, OpensWithTheNewestVersionOfParentAndSeeds) {
+  startup_gate Gate(Clock.steadyNow(), 5);
+  CHECK_FALSE(Gate.open(0));
+  Gate.onParentAnswered(4);
+  CHECK(Gate.wantsProbes(Clock.steadyNow()));
+  Gate.onProbesSent();
+  Gate.onProbeAnswered(6);
+  CHECK_FALSE(Gate.open(4));
+  Gate.onProbeFailed();
+  CHECK_FALSE(Gate.open(4));
+  CHECK(Gate.open(6));
+}
+
+// Guards against a node that waits for ever for a parent while the platform is
+// down, although its peers hold the configuration.
+TEST(startup_gate, PeersAreEnoughWithoutAParent) {
+  startup_gate Gate(Clock.steadyNow(), 2);
+  CHECK_FALSE(Gate.wantsProbes(Clock.steadyNow()));
+  Clock.advance(2s);
+  CHECK(Gate.wantsProbes(Clock.steadyNow()));
+  Gate.onProbesSent();
+  Gate.onProbeFailed();
+  Gate.onProbeAnswered(3);
+  CHECK_FALSE(Gate.open(2));
+  CHECK(Gate.open(3));
+}
+
+TEST_GROUP(relay_directory) {
+  manual_clock Clock;
+  generator Gen{5};
+  relay_directory Directory;
+
+  void list(object_revision Revision) {
+    Directory.onListing({{zone_name("z"), 0, node_id("a"), {"h", 1}, Revision},
+                         {zone_name("z"), 1, node_id("b"), {"h", 2}, 7}},
+                        Clock.steadyNow());
+  }
+};
+
+// Guards against a dead relay that is offered to nodes for ever, and against
+// one that loses its slot while listings fail.
+TEST(relay_directory, SlotExpiresOnlyWhileListingsArrive) {
+  for (object_revision Revision = 1; Revision < 3; ++Revision) {
+    list(Revision);
+    Clock.advance(4s);
+  }
+  CHECK_EQUAL(2U, Directory.relays(Clock.steadyNow()).size());
+  CHECK_FALSE(
+      Directory.freeSlot(zone_name("z"), Clock.steadyNow(), Gen).has_value());
+  list(3);
+  CHECK_EQUAL(1U, *Directory.freeSlot(zone_name("z"), Clock.steadyNow(), Gen));
+  CHECK(Directory.isFirst(node_id("a"), zone_name("z"), Clock.steadyNow()));
+  // The platform is down: the last known holders keep their role.
+  Clock.advance(60s);
+  CHECK_EQUAL(1U, Directory.relays(Clock.steadyNow()).size());
+}
--- a/libs/node/src/control_listener.cpp
+++ b/libs/node/src/control_listener.cpp
@@ -20,6 +20,9 @@
 /// Changes within this time travel in one answer.
 static constexpr milliseconds FlushDelay{20};
 
+/// How long the other root relays have to read a version from the platform.
+static constexpr milliseconds RelayConfigDelay{400};
+
 /// Resolution of holds and of the detection of missing children.
 static constexpr milliseconds TickPeriod{200};
 
@@ -36,6 +39,7 @@
           Context.Loop, {},
           [this](const net::http_exchange &Exchange) { onRequest(Exchange); }),
       FlushTimer(Context.Loop, [this] { flush(); }),
+      RelayFlushTimer(Context.Loop, [this] { flush(); }),
       TickTimer(Context.Loop, [this] { tick(); }),
       Children(Context.Settings.Node) {
   Context.State.watchChildren(&Children);
@@ -80,7 +84,8 @@
   bool Live = Known && Known->State != membership::member_state::Suspect &&
               Known->State != membership::member_state::Left;
   if (From.Node != Context.Settings.Node &&
-      (!Live || Known->ControlAddress == From.Control))
+      (!Live || From.Control.Host.empty() ||
+       Known->ControlAddress == From.Control))
     return true;
   refuse(Exchange, 409,
          "the name " + From.Node.str() + " belongs to another live node");
@@ -97,9 +102,11 @@
   Poller.Digest = Request.Digest;
   Poller.OwnDigest = Own;
   Poller.LastSeen = Context.now();
-  Poller.Relay = {Request.From.Node, Request.From.Zone, Request.From.Control};
+  if (!Request.From.Control.Host.empty())
+    Poller.Relay = {Request.From.Node, Request.From.Zone, Request.From.Control};
   Poller.IsRelay = Request.Role == sync_role::Relay;
-  Poller.Report = Request.Report;
+  if (Request.Report)
+    Poller.Report = *Request.Report;
   if (Poller.Differing < DifferingPolls)
     return false;
   Poller.Differing = 0;
@@ -124,7 +131,7 @@
   waiting_poll Poll{Exchange, std::move(*Request), Now + Hold};
   bool Probe = Poll.Request.Role == sync_role::Probe;
   Poll.SendSnapshot = !Probe && needsSnapshot(Poll.Request);
-  if (Probe || Poll.SendSnapshot || Context.State.hasNewsFor(Poll.Request))
+  if (Probe || Poll.SendSnapshot || isDue(Poll.Request))
     return answer(Poll);
   Polls.push_back(std::move(Poll));
 }
@@ -133,14 +140,23 @@
   const sync_request &Request = Poll.Request;
   sync_response Response;
   Response.Update = Context.State.updateFor(Request, Poll.SendSnapshot);
-  Response.Path = Path;
-  Response.Version = Context.State.version();
+  poller &Poller = Pollers[Request.From.Node];
+  bool First = Request.Cursor == log_cursor{};
+  if (First || Poller.SentPath != Path)
+    Response.Path = Path;
+  Poller.SentPath = Path;
+  if (Response.Update.Cursor.Epoch == Request.Cursor.Epoch)
+    Response.Update.Cursor.Epoch = 0;
+  if (Context.State.version() != Request.Version)
+    Response.Version = Context.State.version();
   if (Request.Role == sync_role::Child && FreeSlot &&
       Request.From.Zone == Context.Settings.Zone) {
     Response.FreeSlot = FreeSlot;
     FreeSlot.reset();
   }
-  Poll.Exchange.reply(net::jsonResponse(200, wire::encode(Response)));
+  net::http_response Message;
+  Message.Body = wire::encode(Response);
+  Poll.Exchange.reply(Message);
   if (Request.Role == sync_role::Child)
     Children.onAnswered(Request.From.Node, Context.now());
 }
@@ -210,7 +226,23 @@
   return Relays;
 }
 
+/// Other root relays read the platform at the same time; only one that does
+/// not reach it needs the configuration from here.
+bool control_listener::isDue(const sync_request &Request) const {
+  if (Request.Role != sync_role::Relay ||
+      Context.now() - VersionSince >= RelayConfigDelay)
+    return Context.State.hasNewsFor(Request);
+  sync_request Other = Request;
+  Other.Refused = Context.State.version();
+  return Context.State.hasNewsFor(Other);
+}
+
 void control_listener::onStateChanged() {
+  if (Context.State.version() != SeenVersion) {
+    SeenVersion = Context.State.version();
+    VersionSince = Context.now();
+    RelayFlushTimer.startOnce(RelayConfigDelay);
+  }
   if (std::exchange(FlushPending, true))
     return;
   FlushTimer.startOnce(FlushDelay);
@@ -219,7 +251,7 @@
 void control_listener::flush() {
   FlushPending = false;
   for (auto Poll = Polls.begin(); Poll != Polls.end();) {
-    if (!Context.State.hasNewsFor(Poll->Request)) {
+    if (!isDue(Poll->Request)) {
       ++Poll;
       continue;
     }
--- a/libs/node/src/control_listener.h
+++ b/libs/node/src/control_listener.h
@@ -68,6 +68,8 @@
     steady_time LastSeen{};
     distribution::relay_entry Relay;
     bool IsRelay = false;
+    /// Path of the last response.
+    std::vector<node_id> SentPath;
     distribution::tree_report Report;
   };
 
@@ -83,6 +85,7 @@
                  const distribution::peer_identity &From);
   bool needsSnapshot(const distribution::sync_request &Request);
   void answer(const waiting_poll &Poll);
+  bool isDue(const distribution::sync_request &Request) const;
   void flush();
   void tick();
 
@@ -90,8 +93,12 @@
   outputs Outputs;
   net::http_server Server;
   net::timer FlushTimer;
+  net::timer RelayFlushTimer;
   net::timer TickTimer;
   bool FlushPending = false;
+  config_version SeenVersion = 0;
+  /// When the version in force came into force.
+  steady_time VersionSince{};
   distribution::child_table Children;
   std::vector<node_id> Path;
   std::optional<std::uint32_t> FreeSlot;
--- a/libs/node/src/parent_link.cpp
+++ b/libs/node/src/parent_link.cpp
@@ -139,8 +139,13 @@
   Request.Version = Context.State.version();
   Request.Refused = Context.State.refusedVersion();
   Request.Digest = Context.State.members().digest();
-  Request.Report = Outputs.Report();
+  tree_report Report = Outputs.Report();
   bool First = Cursor == log_cursor{};
+  if (First || Report != SentReport)
+    Request.Report = Report;
+  if (!First)
+    Request.From = {Context.Settings.Node, {}, 0, {}};
+  SentReport = std::move(Report);
   post(Target, "/v1/sync", wire::encode(Request),
        First ? FirstPollTimeout : PollTimeout,
        [this](const result<net::http_response> &Answer) {
@@ -161,9 +166,12 @@
     Attachment.onPollFailed(Context.now(), Context.Gen);
     return Outputs.PathChanged();
   }
-  Cursor = Response->Update.Cursor;
+  Cursor.Number = Response->Update.Cursor.Number;
+  if (Response->Update.Cursor.Epoch)
+    Cursor.Epoch = Response->Update.Cursor.Epoch;
   std::vector<node_id> Before = Attachment.parentPath();
-  Attachment.onPollAnswer(Response->Path, Context.now(), Context.Gen);
+  Attachment.onPollAnswer(Response->Path ? *Response->Path : Before,
+                          Context.now(), Context.Gen);
   update_outcome Outcome = Context.State.apply(
       Response->Update, update_source::Above, Context.now());
   sendUp(Outcome.Missing);
--- a/libs/node/src/parent_link.h
+++ b/libs/node/src/parent_link.h
@@ -76,6 +76,7 @@
   /// Answers to requests of an earlier start are ignored.
   std::uint64_t Generation = 0;
   distribution::log_cursor Cursor;
+  distribution::tree_report SentReport;
   /// Nodes whose records wait to be sent up.
   std::map<node_id, membership::member_record> Pending;
   bool UpUnderWay = false;
--- a/libs/node/src/relay_exchange.cpp
+++ b/libs/node/src/relay_exchange.cpp
@@ -85,10 +85,13 @@
     return onFailure(Peer, Response.failure().message());
   steady_time Now = Context.now();
   Peer.LastAnswer = Now;
+  Peer.Cursor.Number = Response->Update.Cursor.Number;
+  if (Response->Update.Cursor.Epoch)
+    Peer.Cursor.Epoch = Response->Update.Cursor.Epoch;
   // After a partition the sides disagree about more than the log shows, so the
   // next poll asks for everything.
-  Peer.Cursor =
-      std::exchange(Peer.Lost, false) ? log_cursor{} : Response->Update.Cursor;
+  if (std::exchange(Peer.Lost, false))
+    Peer.Cursor = {};
   update_outcome Outcome =
       Context.State.apply(Response->Update, update_source::Above, Now);
   // Records that the other relay lacks reach it by its own poll of this one:
--- a/libs/wire/src/control_messages.cpp
+++ b/libs/wire/src/control_messages.cpp
@@ -65,6 +65,16 @@
   return Array;
 }
 
+/// Reads the sender of a further poll, which names only itself.
+static peer_identity readKnownIdentity(object_reader &Reader) {
+  peer_identity From;
+  From.Node = node_id(Reader.text("node"));
+  From.Zone = zone_name(Reader.text("zone", ""));
+  From.Incarnation = detail::readUnsigned(Reader, "life", 0);
+  From.Control = Reader.endpoint("control", address{});
+  return From;
+}
+
 static peer_identity readIdentity(object_reader &Reader) {
   peer_identity From;
   From.Node = node_id(Reader.text("node"));
@@ -175,13 +185,16 @@
 
 static sync_request readSyncRequest(object_reader &Reader) {
   sync_request Request;
-  Request.From = readIdentity(Reader);
-  Request.Role = readName<sync_role>(Reader, "role", RoleNames);
+  Request.From = readKnownIdentity(Reader);
+  Request.Role = Reader.text("role", "").empty()
+                     ? sync_role::Child
+                     : readName<sync_role>(Reader, "role", RoleNames);
   Request.Cursor = readCursor(Reader);
   Request.Version = detail::readUnsigned(Reader, "config", 0);
   Request.Refused = detail::readUnsigned(Reader, "refused", 0);
   Request.Digest = detail::readUnsigned(Reader, "digest", 0);
-  Request.Report = readReport(Reader);
+  if (Reader.array("versions") || Reader.array("refusals"))
+    Request.Report = readReport(Reader);
   return Request;
 }
 
@@ -190,22 +203,25 @@
 }
 
 std::string encode(const sync_request &Request) {
-  json Json = toJson(Request.From);
-  Json["role"] = RoleNames[unsigned(Request.Role)];
+  json Json = Request.From.Control.Host.empty()
+                  ? json{{"node", Request.From.Node.str()}}
+                  : toJson(Request.From);
+  if (Request.Role != sync_role::Child)
+    Json["role"] = RoleNames[unsigned(Request.Role)];
   Json["epoch"] = Request.Cursor.Epoch;
   Json["number"] = Request.Cursor.Number;
   Json["config"] = Request.Version;
   if (Request.Refused)
     Json["refused"] = Request.Refused;
   Json["digest"] = Request.Digest;
-  addReport(Json, Request.Report);
+  if (Request.Report)
+    addReport(Json, *Request.Report);
   return Json.dump();
 }
 
 static part_patch readPatch(object_reader &Reader) {
   part_patch Patch;
   Patch.Name = Reader.text("name");
-  Patch.Hash = Reader.text("hash");
   Patch.KeepFront = detail::readUnsigned(Reader, "front", 0);
   Patch.KeepBack = detail::readUnsigned(Reader, "back", 0);
   Patch.Insert = Reader.text("insert", "");
@@ -229,7 +245,6 @@
     Json["base"] = Update.Base;
   for (const part_patch &Patch : Update.Changed)
     Json["changed"].push_back({{"name", Patch.Name},
-                               {"hash", Patch.Hash},
                                {"front", Patch.KeepFront},
                                {"back", Patch.KeepBack},
                                {"insert", Patch.Insert}});
@@ -267,7 +282,8 @@
     object_reader Item(*Config, Reader.pathOf("config"), Reader.faults());
     Update.Config = readConfig(Item);
   }
-  Response.Path = readNodes(Reader, "path");
+  if (Reader.array("path"))
+    Response.Path = readNodes(Reader, "path");
   Response.Version = detail::readUnsigned(Reader, "version", 0);
   std::int64_t Slot = Reader.number("free_slot", -1, 1000, -1);
   if (Slot >= 0)
@@ -281,10 +297,13 @@
 
 std::string encode(const sync_response &Response) {
   const state_update &Update = Response.Update;
-  json Json{{"epoch", Update.Cursor.Epoch},
-            {"number", Update.Cursor.Number},
-            {"path", nodesToJson(Response.Path)},
-            {"version", Response.Version}};
+  json Json{{"number", Update.Cursor.Number}};
+  if (Update.Cursor.Epoch)
+    Json["epoch"] = Update.Cursor.Epoch;
+  if (Response.Path)
+    Json["path"] = nodesToJson(*Response.Path);
+  if (Response.Version)
+    Json["version"] = Response.Version;
   if (Update.Snapshot)
     Json["snapshot"] = true;
   if (!Update.Members.empty())
--- a/standins/members_main.cpp
+++ b/standins/members_main.cpp
@@ -1,6 +1,6 @@
 #include "gentianlug/core/clock.h"
-#include "gentianlug/net/http_client.h"
 #include "gentianlug/membership/member_table.h"
+#include "gentianlug/net/http_client.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/wire/control_messages.h"
 #include "program.h"
@@ -111,13 +111,16 @@
     Request.Refused = INT64_MAX;
     Request.Digest = Table.digest();
     post(Parent, "/v1/sync", wire::encode(Request),
-         [this](const std::string &Body) {
+         [this, Cursor](const std::string &Body) {
            auto Response = wire::decodeSyncResponse(Body);
            if (!Response)
              return Retry.startOnce(RetryDelay);
            for (const auto &Record : Response->Update.Members)
              Table.apply(Record, Clock.steadyNow());
-           poll(Response->Update.Cursor);
+           log_cursor Next = Response->Update.Cursor;
+           if (Next.Epoch == 0)
+             Next.Epoch = Cursor.Epoch;
+           poll(Next);
          });
   }
 
