--- a/libs/distribution/include/gentianlug/distribution/child_table.h
+++ b/libs/distribution/include/gentianlug/distribution/child_table.h
@@ -21,6 +21,10 @@
 /// Time without a poll after which a child counts as missing.
 inline constexpr std::chrono::milliseconds ChildTimeout{2000};
 
+/// The same after an answer of up to 10,000 records and a configuration, on a
+/// busy machine. Without it a storm of attaches repeats itself.
+inline constexpr std::chrono::milliseconds LargeAnswerTimeout{8000};
+
 /// Nodes on the way from the root; deeper trees are refused.
 inline constexpr std::size_t MaxPathLength = 6;
 
@@ -41,7 +45,9 @@
   bool onPoll(const sync_request &Request, steady_time Now);
 
   /// Notes that a poll was answered: from now on the next one is due.
-  void onAnswered(const node_id &Node, steady_time Now);
+  ///
+  /// \param Large whether the answer takes the child long to read.
+  void onAnswered(const node_id &Node, steady_time Now, bool Large);
 
   /// Removes the children that missed their poll and returns them.
   std::vector<node_id> removeMissing(steady_time Now);
@@ -64,6 +70,7 @@
     steady_time LastSeen{};
     /// Whether a poll of the child waits here.
     bool Waiting = false;
+    std::chrono::milliseconds Timeout = ChildTimeout;
     tree_report Report;
   };
 
--- a/libs/distribution/include/gentianlug/distribution/node_state.h
+++ b/libs/distribution/include/gentianlug/distribution/node_state.h
@@ -102,8 +102,9 @@
 
   /// Returns what the sender of \p Request lacks.
   ///
-  /// \param SendSnapshot everything, whatever the cursor says.
-  state_update updateFor(const sync_request &Request, bool SendSnapshot) const;
+  /// A request whose cursor is unknown gets the records of the buckets that
+  /// differ, or everything when it names no buckets.
+  state_update updateFor(const sync_request &Request) const;
 
   /// Returns whether `updateFor` would return something.
   bool hasNewsFor(const sync_request &Request) const;
@@ -128,7 +129,7 @@
   bool vouch(const membership::member_record &Claim, steady_time Now);
   void applyConfig(const config_update &Update, update_outcome &Outcome);
   void addMissing(const state_update &Update, update_outcome &Outcome) const;
-  void addEverything(state_update &Update) const;
+  void addSnapshot(const sync_request &Request, state_update &Update) const;
 
   node_id Self;
   const child_watch *Children = nullptr;
--- a/libs/distribution/include/gentianlug/distribution/sync_messages.h
+++ b/libs/distribution/include/gentianlug/distribution/sync_messages.h
@@ -39,12 +39,18 @@
 struct sync_request {
   peer_identity From;
   sync_role Role = sync_role::Child;
+  /// Whether a root relay cannot read the platform now, so that it needs new
+  /// versions from the others.
+  bool Cut = false;
   log_cursor Cursor;
   /// Version in force, the base of a delta.
   config_version Version = 0;
   /// Newest version that the sender refused; it is not sent again.
   config_version Refused = 0;
   std::uint64_t Digest = 0;
+  /// Digests of the buckets of the member table, in the first poll of a peer;
+  /// see `membership::bucket_digests`. Empty otherwise.
+  std::vector<std::uint64_t> Buckets;
   /// Nothing when it is the same as in the poll before.
   std::optional<tree_report> Report;
 };
@@ -63,8 +69,11 @@
 struct state_update {
   /// Epoch 0 stands for the epoch of the request.
   log_cursor Cursor;
-  /// Whether this is everything instead of the changes since the cursor.
+  /// Whether the members are everything that the buckets hold, instead of the
+  /// changes since the cursor.
   bool Snapshot = false;
+  /// Buckets of a snapshot; empty stands for all.
+  std::vector<std::size_t> Buckets;
   std::vector<membership::member_record> Members;
   std::vector<live_value> Live;
   std::optional<config_update> Config;
@@ -82,6 +91,9 @@
   std::optional<std::vector<node_id>> Path;
   /// Relay slot of the zone that the receiver shall take.
   std::optional<std::uint32_t> FreeSlot;
+  /// Whether the receiver shall send its bucket digests with its next poll,
+  /// because the tables differ.
+  bool Resync = false;
   /// Newest configuration version that the sender knows; 0 when it is the one
   /// that the request names.
   config_version Version = 0;
--- a/libs/distribution/src/child_table.cpp
+++ b/libs/distribution/src/child_table.cpp
@@ -47,7 +47,7 @@
     return Response;
   }
   child &Child = Children[From.Node];
-  Child = {From.Control, From.Incarnation, Now, false, {}};
+  Child = {From.Control, From.Incarnation, Now, false, ChildTimeout, {}};
   Response.Verdict = verdict::Admitted;
   return Response;
 }
@@ -72,18 +72,19 @@
   return true;
 }
 
-void child_table::onAnswered(const node_id &Node, steady_time Now) {
+void child_table::onAnswered(const node_id &Node, steady_time Now, bool Large) {
   auto Entry = Children.find(Node);
   if (Entry == Children.end())
     return;
   Entry->second.LastSeen = Now;
   Entry->second.Waiting = false;
+  Entry->second.Timeout = Large ? LargeAnswerTimeout : ChildTimeout;
 }
 
 std::vector<node_id> child_table::removeMissing(steady_time Now) {
   std::vector<node_id> Missing;
   for (const auto &[Node, Child] : Children)
-    if (!Child.Waiting && Now - Child.LastSeen >= ChildTimeout)
+    if (!Child.Waiting && Now - Child.LastSeen >= Child.Timeout)
       Missing.push_back(Node);
   for (const node_id &Node : Missing)
     Children.erase(Node);
--- a/libs/distribution/src/node_state.cpp
+++ b/libs/distribution/src/node_state.cpp
@@ -2,6 +2,7 @@
 
 #include "gentianlug/distribution/child_table.h"
 
+#include <array>
 #include <set>
 
 namespace gentianlug::distribution {
@@ -129,18 +130,31 @@
   return true;
 }
 
+/// Returns which buckets a snapshot covers.
+static std::array<bool, membership::DigestBuckets>
+coveredBuckets(const state_update &Update) {
+  std::array<bool, membership::DigestBuckets> Covered{};
+  Covered.fill(Update.Buckets.empty());
+  for (std::size_t Bucket : Update.Buckets)
+    if (Bucket < Covered.size())
+      Covered[Bucket] = true;
+  return Covered;
+}
+
 void node_state::addMissing(const state_update &Update,
                             update_outcome &Outcome) const {
+  auto Covered = coveredBuckets(Update);
   std::set<node_id> Sent;
   for (const member_record &Record : Update.Members) {
     const member_record *Held = Members.find(Record.Node);
     if (Held && !Held->supersedes(Record))
       Sent.insert(Record.Node);
   }
-  for (const member_record &Record : Members.all())
-    if (!Sent.count(Record.Node) &&
+  for (member_record &Record : Members.all())
+    if (Covered[membership::bucketOf(Record.Node)] &&
+        !Sent.count(Record.Node) &&
         Record.State != membership::member_state::Left)
-      Outcome.Missing.push_back(Record);
+      Outcome.Missing.push_back(std::move(Record));
 }
 
 void node_state::setOwn(member_record Own, steady_time Now) {
@@ -164,15 +178,27 @@
   return !Removed.empty();
 }
 
-void node_state::addEverything(state_update &Update) const {
-  Update.Snapshot = true;
-  Update.Members = Members.all();
+void node_state::addSnapshot(const sync_request &Request,
+                             state_update &Update) const {
   for (const auto &[Key, Value] : Live)
     Update.Live.push_back(Value);
+  const membership::bucket_digests &Own = Members.buckets();
+  if (Request.Buckets.size() == Own.size()) {
+    for (std::size_t Bucket = 0; Bucket < Own.size(); ++Bucket)
+      if (Request.Buckets[Bucket] != Own[Bucket])
+        Update.Buckets.push_back(Bucket);
+    // Equal tables need no records.
+    if (Update.Buckets.empty())
+      return;
+  }
+  Update.Snapshot = true;
+  auto Covered = coveredBuckets(Update);
+  for (member_record &Record : Members.all())
+    if (Covered[membership::bucketOf(Record.Node)])
+      Update.Members.push_back(std::move(Record));
 }
 
-state_update node_state::updateFor(const sync_request &Request,
-                                   bool SendSnapshot) const {
+state_update node_state::updateFor(const sync_request &Request) const {
   state_update Update;
   Update.Cursor = Log.head();
   if (History.newest() > Request.Refused)
@@ -183,8 +209,8 @@
     return Update;
   }
   auto News = Log.since(Request.Cursor);
-  if (!News || SendSnapshot) {
-    addEverything(Update);
+  if (!News) {
+    addSnapshot(Request, Update);
     return Update;
   }
   for (const logged_change &Change : *News) {
@@ -204,7 +230,7 @@
     return true;
   if (Request.Cursor == Log.head())
     return false;
-  return !updateFor(Request, false).empty();
+  return !Log.since(Request.Cursor) || !updateFor(Request).empty();
 }
 
 } // namespace gentianlug::distribution
--- a/libs/membership/include/gentianlug/membership/member_table.h
+++ b/libs/membership/include/gentianlug/membership/member_table.h
@@ -4,6 +4,7 @@
 #include "gentianlug/core/clock.h"
 #include "gentianlug/membership/member_record.h"
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <deque>
@@ -20,6 +21,14 @@
 /// Most records of nodes that have left; the oldest is dropped first.
 inline constexpr std::size_t MaxTombstones = 4096;
 
+/// Buckets of a table. Two tables compare the digests of their buckets and
+/// exchange only the records of those that differ.
+inline constexpr std::size_t DigestBuckets = 64;
+using bucket_digests = std::array<std::uint64_t, DigestBuckets>;
+
+/// Returns the bucket of a node.
+std::size_t bucketOf(const node_id &Node);
+
 /// Times of the failure detection.
 struct member_times {
   /// From suspicion to removal, without a refutation.
@@ -100,7 +109,10 @@
 
   /// Returns a hash of 63 bits over the records of nodes that have not left.
   /// Equal tables have equal digests. Complexity: constant.
-  std::uint64_t digest() const { return Digest >> 1; }
+  std::uint64_t digest() const;
+
+  /// Returns the digests of the buckets, each of 63 bits.
+  const bucket_digests &buckets() const { return Buckets; }
 
   /// Returns the nodes that are root relays by their own records.
   std::vector<member_record> roots() const;
@@ -129,7 +141,7 @@
   std::set<node_id> Suspects;
   /// Removed nodes in the order of their removal.
   std::deque<node_id> Tombstones;
-  std::uint64_t Digest = 0;
+  bucket_digests Buckets{};
 };
 
 } // namespace gentianlug::membership
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -4,11 +4,19 @@
 
 namespace gentianlug::membership {
 
+/// Digests travel as JSON numbers, which many implementations limit to 63 bits.
+static constexpr std::uint64_t Mask63 = INT64_MAX;
+
+std::size_t bucketOf(const node_id &Node) {
+  return hash64(Node.str()) % DigestBuckets;
+}
+
 /// Returns the contribution of one record to the digest of its table.
 static std::uint64_t recordHash(const member_record &Record) {
   if (Record.State == member_state::Left)
     return 0;
-  return hash64(Record.Node.str() + " " + std::to_string(Record.Incarnation) +
+  return Mask63 &
+         hash64(Record.Node.str() + " " + std::to_string(Record.Incarnation) +
                 " " + std::to_string(Record.Sequence) + " " +
                 std::to_string(int(Record.State)));
 }
@@ -24,6 +32,7 @@
 void member_table::store(const member_record &Record, steady_time Now) {
   entry &Entry = Entries[Record.Node];
   bool WasLeft = Entry.Record.State == member_state::Left;
+  std::uint64_t &Digest = Buckets[bucketOf(Record.Node)];
   if (!Entry.Record.Node.empty())
     Digest ^= recordHash(Entry.Record);
   Digest ^= recordHash(Record);
@@ -116,6 +125,13 @@
   }
 }
 
+std::uint64_t member_table::digest() const {
+  std::uint64_t Whole = 0;
+  for (std::uint64_t Digest : Buckets)
+    Whole ^= Digest;
+  return Whole;
+}
+
 const member_record *member_table::find(const node_id &Node) const {
   auto Entry = Entries.find(Node);
   return Entry == Entries.end() ? nullptr : &Entry->second.Record;
--- a/libs/node/src/control_listener.cpp
+++ b/libs/node/src/control_listener.cpp
@@ -20,8 +20,15 @@
 /// Changes within this time travel in one answer.
 static constexpr milliseconds FlushDelay{20};
 
+/// Least time between two rounds of answers, for changes that come in rows.
+static constexpr milliseconds FlushPeriod{100};
+
 /// How long the other root relays have to read a version from the platform.
-static constexpr milliseconds RelayConfigDelay{400};
+/// One that reads it late, without an error, gets the version from here.
+static constexpr milliseconds RelayConfigDelay{1000};
+
+/// An answer of this size takes a child some time to read.
+static constexpr std::size_t LargeAnswerBytes = 100 << 10;
 
 /// Resolution of holds and of the detection of missing children.
 static constexpr milliseconds TickPeriod{200};
@@ -39,7 +46,6 @@
           Context.Loop, {},
           [this](const net::http_exchange &Exchange) { onRequest(Exchange); }),
       FlushTimer(Context.Loop, [this] { flush(); }),
-      RelayFlushTimer(Context.Loop, [this] { flush(); }),
       TickTimer(Context.Loop, [this] { tick(); }),
       Children(Context.Settings.Node) {
   Context.State.watchChildren(&Children);
@@ -92,7 +98,7 @@
   return false;
 }
 
-bool control_listener::needsSnapshot(const sync_request &Request) {
+bool control_listener::needsResync(const sync_request &Request) {
   poller &Poller = Pollers[Request.From.Node];
   std::uint64_t Own = Context.State.members().digest();
   bool UpToDate = Request.Cursor == Context.State.head();
@@ -130,8 +136,8 @@
                                                           : milliseconds(0);
   waiting_poll Poll{Exchange, std::move(*Request), Now + Hold};
   bool Probe = Poll.Request.Role == sync_role::Probe;
-  Poll.SendSnapshot = !Probe && needsSnapshot(Poll.Request);
-  if (Probe || Poll.SendSnapshot || isDue(Poll.Request))
+  Poll.Resync = !Probe && needsResync(Poll.Request);
+  if (Probe || Poll.Resync || isDue(Poll.Request))
     return answer(Poll);
   Polls.push_back(std::move(Poll));
 }
@@ -139,7 +145,11 @@
 void control_listener::answer(const waiting_poll &Poll) {
   const sync_request &Request = Poll.Request;
   sync_response Response;
-  Response.Update = Context.State.updateFor(Request, Poll.SendSnapshot);
+  bool Fresh = Context.now() - VersionSince < RelayConfigDelay;
+  bool Spared = Request.Role == sync_role::Relay && !Request.Cut && Fresh;
+  Response.Update =
+      Context.State.updateFor(Spared ? withoutConfig(Request) : Request);
+  Response.Resync = Poll.Resync;
   poller &Poller = Pollers[Request.From.Node];
   bool First = Request.Cursor == log_cursor{};
   if (First || Poller.SentPath != Path)
@@ -158,7 +168,8 @@
   Message.Body = wire::encode(Response);
   Poll.Exchange.reply(Message);
   if (Request.Role == sync_role::Child)
-    Children.onAnswered(Request.From.Node, Context.now());
+    Children.onAnswered(Request.From.Node, Context.now(),
+                        Message.Body.size() >= LargeAnswerBytes);
 }
 
 void control_listener::onUp(const net::http_exchange &Exchange) {
@@ -229,27 +240,31 @@
 /// Other root relays read the platform at the same time; only one that does
 /// not reach it needs the configuration from here.
 bool control_listener::isDue(const sync_request &Request) const {
-  if (Request.Role != sync_role::Relay ||
-      Context.now() - VersionSince >= RelayConfigDelay)
+  if (Request.Role != sync_role::Relay || Request.Cut)
     return Context.State.hasNewsFor(Request);
-  sync_request Other = Request;
-  Other.Refused = Context.State.version();
-  return Context.State.hasNewsFor(Other);
+  return Context.State.hasNewsFor(withoutConfig(Request));
+}
+
+sync_request control_listener::withoutConfig(sync_request Request) const {
+  Request.Refused = Context.State.version();
+  return Request;
 }
 
 void control_listener::onStateChanged() {
   if (Context.State.version() != SeenVersion) {
     SeenVersion = Context.State.version();
     VersionSince = Context.now();
-    RelayFlushTimer.startOnce(RelayConfigDelay);
   }
   if (std::exchange(FlushPending, true))
     return;
-  FlushTimer.startOnce(FlushDelay);
+  auto Since =
+      std::chrono::duration_cast<milliseconds>(Context.now() - LastFlush);
+  FlushTimer.startOnce(std::max(FlushDelay, FlushPeriod - Since));
 }
 
 void control_listener::flush() {
   FlushPending = false;
+  LastFlush = Context.now();
   for (auto Poll = Polls.begin(); Poll != Polls.end();) {
     if (!isDue(Poll->Request)) {
       ++Poll;
--- a/libs/node/src/control_listener.h
+++ b/libs/node/src/control_listener.h
@@ -57,7 +57,7 @@
     net::http_exchange Exchange;
     distribution::sync_request Request;
     steady_time Deadline;
-    bool SendSnapshot = false;
+    bool Resync = false;
   };
 
   /// State of one polling peer.
@@ -83,9 +83,11 @@
               const std::string &Reason);
   bool checkName(const net::http_exchange &Exchange,
                  const distribution::peer_identity &From);
-  bool needsSnapshot(const distribution::sync_request &Request);
+  bool needsResync(const distribution::sync_request &Request);
   void answer(const waiting_poll &Poll);
   bool isDue(const distribution::sync_request &Request) const;
+  distribution::sync_request
+  withoutConfig(distribution::sync_request Request) const;
   void flush();
   void tick();
 
@@ -93,9 +95,9 @@
   outputs Outputs;
   net::http_server Server;
   net::timer FlushTimer;
-  net::timer RelayFlushTimer;
   net::timer TickTimer;
   bool FlushPending = false;
+  steady_time LastFlush{};
   config_version SeenVersion = 0;
   /// When the version in force came into force.
   steady_time VersionSince{};
--- a/libs/node/src/control_task.cpp
+++ b/libs/node/src/control_task.cpp
@@ -35,6 +35,10 @@
 
 /// Changes within this time reach the other tasks as one snapshot.
 static constexpr milliseconds PublishDelay{5};
+
+/// Least time between two snapshots. Each one lists up to 10,000 members, and
+/// when a rack restarts, hundreds of them change one after the other.
+static constexpr milliseconds PublishPeriod{250};
 static constexpr milliseconds ReportPeriod{1000};
 
 /// A server that did not announce itself for this time counts as gone. It
@@ -94,6 +98,7 @@
   net::timer DrainTimer;
   net::timer LeaveTimer;
   bool PublishPending = false;
+  steady_time LastPublish{};
   /// Whether the members changed since the last snapshot.
   bool MembersChanged = false;
   /// Whether the startup gate has opened.
@@ -123,7 +128,8 @@
                                                    Platform, Incarnation},
         Listener(Context, {changed(), Outputs.Evidence}),
         Parent(Context, parentOutputs()),
-        Exchange(Context, {changed(), [this] { return report(); }}),
+        Exchange(Context, {changed(), [this] { return report(); },
+                           [this] { return Relay.isCut(); }}),
         Relay(Context, relayOutputs()), Seeds(Context),
         Gate(Clock.steadyNow(), Settings.SeedPeers.size()),
         PublishTimer(Loop, [this] { publish(); }),
@@ -386,7 +392,6 @@
     if (Outcome.Refusal)
       onRefused(*Outcome.Refusal);
     if (Outcome.ConfigChanged) {
-      noteInForce();
       logEvent(event::ConfigInForce,
                "version " + std::to_string(State.version()));
       Relay.onReportChanged();
@@ -403,8 +408,11 @@
   }
 
   void schedulePublish() {
-    if (!std::exchange(PublishPending, true))
-      PublishTimer.startOnce(PublishDelay);
+    if (std::exchange(PublishPending, true))
+      return;
+    auto Since =
+        std::chrono::duration_cast<milliseconds>(Context.now() - LastPublish);
+    PublishTimer.startOnce(std::max(PublishDelay, PublishPeriod - Since));
   }
 
   void noteInForce() {
@@ -463,6 +471,9 @@
 
   void publish() {
     PublishPending = false;
+    LastPublish = Context.now();
+    if (Serving && Snapshot.Configuration != State.configuration())
+      noteInForce();
     if (Serving)
       Snapshot.Configuration = State.configuration();
     if (std::exchange(MembersChanged, false))
--- a/libs/node/src/parent_link.cpp
+++ b/libs/node/src/parent_link.cpp
@@ -143,7 +143,10 @@
   bool First = Cursor == log_cursor{};
   if (First || Report != SentReport)
     Request.Report = Report;
-  if (!First)
+  const auto &Buckets = Context.State.members().buckets();
+  if (First)
+    Request.Buckets.assign(Buckets.begin(), Buckets.end());
+  else
     Request.From = {Context.Settings.Node, {}, 0, {}};
   SentReport = std::move(Report);
   post(Target, "/v1/sync", wire::encode(Request),
@@ -169,6 +172,8 @@
   Cursor.Number = Response->Update.Cursor.Number;
   if (Response->Update.Cursor.Epoch)
     Cursor.Epoch = Response->Update.Cursor.Epoch;
+  if (Response->Resync)
+    Cursor = {};
   std::vector<node_id> Before = Attachment.parentPath();
   Attachment.onPollAnswer(Response->Path ? *Response->Path : Before,
                           Context.now(), Context.Gen);
--- a/libs/node/src/relay_exchange.cpp
+++ b/libs/node/src/relay_exchange.cpp
@@ -60,6 +60,10 @@
   Request.Refused = Context.State.refusedVersion();
   Request.Digest = Context.State.members().digest();
   Request.Report = Outputs.Report();
+  Request.Cut = Outputs.Cut();
+  const auto &Buckets = Context.State.members().buckets();
+  if (Peer->Cursor == log_cursor{})
+    Request.Buckets.assign(Buckets.begin(), Buckets.end());
   net::http_request Message;
   Message.Method = "POST";
   Message.Target = "/v1/sync";
@@ -90,7 +94,7 @@
     Peer.Cursor.Epoch = Response->Update.Cursor.Epoch;
   // After a partition the sides disagree about more than the log shows, so the
   // next poll asks for everything.
-  if (std::exchange(Peer.Lost, false))
+  if (std::exchange(Peer.Lost, false) || Response->Resync)
     Peer.Cursor = {};
   update_outcome Outcome =
       Context.State.apply(Response->Update, update_source::Above, Now);
--- a/libs/node/src/relay_exchange.h
+++ b/libs/node/src/relay_exchange.h
@@ -17,6 +17,8 @@
   struct outputs {
     std::function<void(const distribution::update_outcome &)> Changed;
     std::function<distribution::tree_report()> Report;
+    /// Whether this relay cannot read the platform.
+    std::function<bool()> Cut;
   };
 
   relay_exchange(control_context &Context, outputs Outputs);
--- a/libs/node/src/relay_role.cpp
+++ b/libs/node/src/relay_role.cpp
@@ -232,8 +232,10 @@
           return;
         if (!List) {
           platformFailed(List.failure());
+          Cut = true;
           return WatchRetry.startOnce(PlatformRetryDelay);
         }
+        Cut = false;
         Watched = List->Revision;
         for (const platform::object &Object : List->Objects)
           onLive(Object.Key, Object.Value, Object.Revision);
@@ -251,8 +253,10 @@
           return;
         if (!Batch) {
           platformFailed(Batch.failure());
+          Cut = true;
           return WatchRetry.startOnce(PlatformRetryDelay);
         }
+        Cut = false;
         Watched = Batch->Revision;
         for (const platform::object_change &Change : Batch->Changes)
           onLive(Change.Key, Change.Value, Change.Revision);
--- a/libs/node/src/relay_role.h
+++ b/libs/node/src/relay_role.h
@@ -52,6 +52,9 @@
 
   bool isRoot() const { return Root; }
 
+  /// Returns whether the last reading or watch of the platform failed.
+  bool isCut() const { return Cut; }
+
   /// Returns the live relays of the last listing.
   std::vector<distribution::relay_entry> relays() const {
     return Directory.relays(Context.now());
@@ -106,6 +109,7 @@
   steady_time LastStatusWrite{};
   object_revision Watched = 0;
   bool FirstReading = true;
+  bool Cut = false;
   std::optional<platform::config_head> Fetching;
 };
 
--- a/libs/wire/src/control_messages.cpp
+++ b/libs/wire/src/control_messages.cpp
@@ -1,6 +1,7 @@
 #include "gentianlug/wire/control_messages.h"
 
 #include "detail/decoder.h"
+#include "gentianlug/membership/member_table.h"
 
 namespace gentianlug::wire {
 
@@ -58,6 +59,22 @@
   return Nodes;
 }
 
+/// Reads an optional list of a number for each digest bucket at most.
+static std::vector<std::uint64_t> readNumbers(object_reader &Reader,
+                                              const std::string &Key) {
+  std::vector<std::uint64_t> Numbers;
+  const json *Array = Reader.array(Key);
+  if (!Array)
+    return Numbers;
+  for (const json &Item : *Array) {
+    if (Item.is_number_unsigned() && Numbers.size() < membership::DigestBuckets)
+      Numbers.push_back(Item.get<std::uint64_t>());
+    else
+      Reader.faults().add(Reader.pathOf(Key), "must hold a few whole numbers");
+  }
+  return Numbers;
+}
+
 static json nodesToJson(const std::vector<node_id> &Nodes) {
   json Array = json::array();
   for (const node_id &Node : Nodes)
@@ -127,11 +144,19 @@
   return Json;
 }
 
-static json recordsToJson(const std::vector<member_record> &Records) {
-  json Array = json::array();
+/// Appends the records to \p Text as the last field of its object.
+///
+/// A document tree of 10,000 records takes several times the time of the text.
+static std::string withRecords(std::string Text,
+                               const std::vector<member_record> &Records) {
+  if (Records.empty())
+    return Text;
+  Text.pop_back();
+  Text += ",\"members\":[";
   for (const member_record &Record : Records)
-    Array.push_back(toJson(Record));
-  return Array;
+    Text.append(toJson(Record).dump()).append(",");
+  Text.back() = ']';
+  return Text + "}";
 }
 
 static log_cursor readCursor(object_reader &Reader) {
@@ -189,10 +214,12 @@
   Request.Role = Reader.text("role", "").empty()
                      ? sync_role::Child
                      : readName<sync_role>(Reader, "role", RoleNames);
+  Request.Cut = Reader.flag("cut", false);
   Request.Cursor = readCursor(Reader);
   Request.Version = detail::readUnsigned(Reader, "config", 0);
   Request.Refused = detail::readUnsigned(Reader, "refused", 0);
   Request.Digest = detail::readUnsigned(Reader, "digest", 0);
+  Request.Buckets = readNumbers(Reader, "buckets");
   if (Reader.array("versions") || Reader.array("refusals"))
     Request.Report = readReport(Reader);
   return Request;
@@ -208,12 +235,16 @@
                   : toJson(Request.From);
   if (Request.Role != sync_role::Child)
     Json["role"] = RoleNames[unsigned(Request.Role)];
+  if (Request.Cut)
+    Json["cut"] = true;
   Json["epoch"] = Request.Cursor.Epoch;
   Json["number"] = Request.Cursor.Number;
   Json["config"] = Request.Version;
   if (Request.Refused)
     Json["refused"] = Request.Refused;
   Json["digest"] = Request.Digest;
+  if (!Request.Buckets.empty())
+    Json["buckets"] = Request.Buckets;
   if (Request.Report)
     addReport(Json, *Request.Report);
   return Json.dump();
@@ -276,6 +307,9 @@
   state_update &Update = Response.Update;
   Update.Cursor = readCursor(Reader);
   Update.Snapshot = Reader.flag("snapshot", false);
+  for (std::uint64_t Bucket : readNumbers(Reader, "buckets"))
+    Update.Buckets.push_back(Bucket);
+  Response.Resync = Reader.flag("resync", false);
   Update.Members = readOptionalList(Reader, "members", readRecord);
   Update.Live = readOptionalList(Reader, "live", readLive);
   if (const json *Config = Reader.object("config")) {
@@ -306,15 +340,17 @@
     Json["version"] = Response.Version;
   if (Update.Snapshot)
     Json["snapshot"] = true;
-  if (!Update.Members.empty())
-    Json["members"] = recordsToJson(Update.Members);
   for (const live_value &Value : Update.Live)
     Json["live"].push_back(toJson(Value));
   if (Update.Config)
     Json["config"] = toJson(*Update.Config);
   if (Response.FreeSlot)
     Json["free_slot"] = *Response.FreeSlot;
-  return Json.dump();
+  if (Response.Resync)
+    Json["resync"] = true;
+  for (std::size_t Bucket : Update.Buckets)
+    Json["buckets"].push_back(Bucket);
+  return withRecords(Json.dump(), Update.Members);
 }
 
 static up_message readUp(object_reader &Reader) {
@@ -329,9 +365,7 @@
 }
 
 std::string encode(const up_message &Message) {
-  json Json = toJson(Message.From);
-  Json["members"] = recordsToJson(Message.Members);
-  return Json.dump();
+  return withRecords(toJson(Message.From).dump(), Message.Members);
 }
 
 result<peer_identity> decodeAttachRequest(std::string_view Text) {
