--- a/bench/experiments/convergence.lua
+++ b/bench/experiments/convergence.lua
@@ -9,8 +9,8 @@
 local SERVICES, ENDPOINTS = 1800, 10000
 local CHANGES = 20
 local PERIOD_MS = 86400000 / 160000
--- A multiple of the periods of renewals and listings.
-local QUIET_MS = 12000
+-- A multiple of the periods of renewals (2 s), listings (5 s) and watches (10 s).
+local QUIET_MS = 10000
 local zones = { "zone-1", "zone-2", "zone-3" }
 
 local site = mesh.new("bench")
--- a/libs/membership/include/gentianlug/membership/member_table.h
+++ b/libs/membership/include/gentianlug/membership/member_table.h
@@ -119,6 +119,9 @@
 
   std::size_t size() const { return Entries.size(); }
 
+  /// Returns the number of nodes that have not left and are not suspected.
+  std::size_t liveCount() const { return Live; }
+
 private:
   struct entry {
     member_record Record;
@@ -142,6 +145,7 @@
   /// Removed nodes in the order of their removal.
   std::deque<node_id> Tombstones;
   bucket_digests Buckets{};
+  std::size_t Live = 0;
 };
 
 } // namespace gentianlug::membership
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -36,6 +36,10 @@
   if (!Entry.Record.Node.empty())
     Digest ^= recordHash(Entry.Record);
   Digest ^= recordHash(Record);
+  if (!Entry.Record.Node.empty() && !isGone(Entry.Record))
+    --Live;
+  if (!isGone(Record))
+    ++Live;
   Entry.Record = Record;
   Entry.ChangedAt = Now;
   Entry.CoveredAt = Now;
--- a/libs/node/src/relay_role.cpp
+++ b/libs/node/src/relay_role.cpp
@@ -21,7 +21,7 @@
 
 /// Root relays look at the leases of all zones this often, for the relays to
 /// exchange with and for free slots.
-static constexpr milliseconds ListPeriod{4000};
+static constexpr milliseconds ListPeriod{5000};
 
 static constexpr milliseconds WatchWait{10000};
 static constexpr milliseconds PlatformRetryDelay{500};
--- /dev/null
+++ b/scenarios/platform_outage.lua
@@ -0,0 +1,40 @@
+-- The platform is down. Nodes keep what is in force, and a node that restarts
+-- gets the newest accepted version from its peers.
+local mesh = require("mesh")
+local site = mesh.new("qc-east")
+local examples = run.source .. "/examples/beaudoin/"
+for number = 1, 6 do
+  site:add_node("node-" .. number, "qc-east-" .. (number - 1) % 2 + 1)
+end
+for version = 1, 2 do
+  local code, output = site:apply(examples .. "base.json",
+    examples .. "qc-east.json", "marie", "version " .. version)
+  assert(code == 0, output)
+end
+site:wait_version(2, 30000)
+site:platform_faults({ down = true })
+local function restart(node)
+  signal(node.pid, mesh.SIGKILL)
+  wait_exit(node.pid, 10000)
+  site:start_node(node)
+end
+-- Nodes that have seed peers in their settings; the first ones have none.
+for _, node in ipairs({ site.nodes[4], site.nodes[6] }) do
+  restart(node)
+  mesh.wait_until(node.name .. " serves the newest version", 30000, function()
+    local status = site:status(node)
+    local control = status and status.control
+    assert(not control or not control.served_version or
+      control.served_version == 0 or control.served_version == 2,
+      "an old version was served")
+    return control and control.served_version == 2
+  end)
+end
+for _, node in ipairs(site.nodes) do
+  assert(site:version_in_force(node) == 2, node.name)
+end
+site:platform_faults({})
+local code, output = site:apply(examples .. "base.json",
+  examples .. "qc-east.json", "marie", "after the outage")
+assert(code == 0, output)
+site:wait_version(3, 60000)
--- /dev/null
+++ b/scenarios/third_of_the_nodes_restarted.lua
@@ -0,0 +1,40 @@
+-- A third of the nodes, with all relays of one zone, die at once and start
+-- again: all come back to the newest version and none goes back.
+local mesh = require("mesh")
+local site = mesh.new("qc-east")
+local examples = run.source .. "/examples/beaudoin/"
+for number = 1, 12 do
+  site:add_node("node-" .. number, "qc-east-" .. (number - 1) % 3 + 1)
+end
+local function apply(reason)
+  local code, output = site:apply(examples .. "base.json",
+    examples .. "qc-east.json", "marie", reason)
+  assert(code == 0, output)
+end
+apply("first")
+site:wait_version(1, 30000)
+local victims = {}
+for _, node in ipairs(site.nodes) do
+  if node.zone == "qc-east-1" then victims[#victims + 1] = node end
+end
+for _, node in ipairs(victims) do signal(node.pid, mesh.SIGKILL) end
+for _, node in ipairs(victims) do wait_exit(node.pid, 10000) end
+apply("while they are gone")
+for _, node in ipairs(victims) do site:start_node(node) end
+mesh.wait_until("the newest version served everywhere", 60000, function()
+  for _, node in ipairs(site.nodes) do
+    local status = site:status(node)
+    local served = status and status.control and status.control.served_version
+    assert(not served or served == 0 or served == 2 or
+      node.zone ~= "qc-east-1", node.name .. " served an old version")
+    if served ~= 2 then return false end
+  end
+  return true
+end)
+mesh.wait_until("every node knows every member", 60000, function()
+  for _, node in ipairs(site.nodes) do
+    if site:status(node).control.live_members ~= 12 then return false end
+  end
+  return true
+end)
+site:stop()
