Route, match, retry and question calls at the entry node

The entry node sent each call to the first member, took any answer for the call's own and gave up on the first failure.

Each call now picks its endpoint by the routing library, carries the call headers with a deadline that shrinks, and takes only answers with its call id from this or a later life of the server. Answers up to 64 KB are collected, larger ones stream with back-pressure. A silent or lost non-idempotent call is asked about on a new connection; other calls are retried within the budget. A stop announces itself for 1 s, refuses for 0.5 s, finishes the calls under way within the longest deadline of a route and exits.

--- /dev/null
+++ b/libs/node/src/entry_call.cpp
@@ -0,0 +1,460 @@
+#include "entry_call.h"
+
+#include "gentianlug/net/event_loop.h"
+#include "gentianlug/net/net_errc.h"
+#include "gentianlug/node/call_headers.h"
+#include "gentianlug/observe/log.h"
+#include "gentianlug/wire/load_header.h"
+#include "rollout_selector.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace gentianlug::node {
+
+using net::net_errc;
+using observe::event;
+using observe::logEvent;
+using routing::call_verdict;
+using routing::try_outcome;
+using std::chrono::milliseconds;
+
+/// Without an answer after this time the connection may be silent.
+static constexpr milliseconds SilenceTime{500};
+/// Time limit of one question about a call, and the pause before the next one
+/// while the call runs and its connection is lost.
+static constexpr milliseconds QuestionTimeout{500};
+static constexpr milliseconds QuestionPause{100};
+/// Answers up to this size are passed on when they are whole, so that a cut
+/// one can still be replaced by an error or by the answer of a retry.
+static constexpr std::size_t MaxCollectedBytes = 64 << 10;
+/// Bytes of a streamed answer that wait for the caller before reading stops.
+/// With what is read already, it stays below 256 KB a call.
+static constexpr std::size_t MaxWaitingBytes = 128 << 10;
+
+entry_call::entry_call(entry_state &State, net::http_exchange Exchange,
+                       details Details, std::function<void()> Ended)
+    : State(State), Exchange(std::move(Exchange)), Details(std::move(Details)),
+      Ended(std::move(Ended)), Started(State.now()),
+      SilenceTimer(State.Context.Loop, [this] { onSilence(); }) {
+  Forwarded = makeForwarded(this->Exchange.request(), *this->Details.Route,
+                            this->Details.Stated.Idempotent,
+                            this->Details.Limits.Depth);
+}
+
+entry_call::~entry_call() = default;
+
+routing::retry_budget &entry_call::budget() {
+  const config::service &Service = *Details.Service;
+  return State.Budgets.try_emplace(Service.Name, Service.Retries.Budget)
+      .first->second;
+}
+
+void entry_call::start() {
+  Version = rollout_selector(*Details.Snapshot)
+                .selectVersion(*Details.Service, Details.Stated.Idempotent,
+                               State.Gen, State.Context.Clock.wallNow());
+  Exchange.onDisconnect([Weak = weak_from_this()] {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    Self->cancelTries(call_verdict::Canceled, nullptr);
+    Self->end("canceled");
+  });
+  if (!Details.Stated.IsRetry)
+    budget().onFirstTry();
+  sendTry();
+}
+
+void entry_call::sendTry() {
+  steady_time Now = State.now();
+  auto Pick = State.Picker->pickEndpoint(
+      {State.Table.endpoints(Details.Service->Name), Version,
+       Details.Service->Version, State.OwnZone,
+       Details.Snapshot->Configuration->Configuration.ZoneRoundTrip,
+       State.Zones, Tried},
+      State.Gen, Now);
+  if (!Pick) {
+    LastReason = Details.Service->Name.str() + ": " + Pick.failure().message();
+    return settle();
+  }
+  auto Try = std::make_shared<attempt>();
+  const membership::member_record &Member = Pick->Endpoint->Member;
+  Try->Number = ++Tries;
+  Try->Node = Member.Node;
+  Try->Peer = Member.PeerAddress;
+  Try->ServerIncarnation = Member.ServerIncarnation;
+  // The serving node may have marked the id of an earlier try as refused.
+  Try->Id =
+      Tries == 1
+          ? Details.Stated.Id
+          : call_id(Details.Stated.Id.str() + "." + std::to_string(Tries));
+  logEvent(event::CallRouted, Details.Route->Name.str() + " " + Try->Id.str() +
+                                  " to " + routing::describePick(*Pick, Now));
+  bool SeenBefore =
+      std::find(Tried.begin(), Tried.end(), Member.Node) != Tried.end();
+  Tried.push_back(Member.Node);
+  State.Table.callStarted(Member.Node);
+  // A node that left a try unanswered may have silent connections.
+  open(Try,
+       SeenBefore ? net::connection_choice::New : net::connection_choice::Any);
+}
+
+void entry_call::open(const attempt_ptr &Try, net::connection_choice Choice) {
+  Try->Started = State.now();
+  setTry(Forwarded.Headers,
+         {Try->Id,
+          Details.Stated.IsRetry ? std::max(2u, Try->Number) : Try->Number,
+          Details.Limits.timeForNextNode(Try->Started),
+          Try->ServerIncarnation});
+  net::response_receiver Receiver;
+  Receiver.Head = [Self = shared_from_this(),
+                   Try](const net::http_response &Head) {
+    Self->onHead(Try, Head);
+  };
+  Receiver.Part = [Self = shared_from_this(), Try](std::string_view Part) {
+    Self->onPart(Try, Part);
+  };
+  Receiver.End = [Self = shared_from_this(), Try](const result<void> &End) {
+    Self->onEnd(Try, End);
+  };
+  UnderWay.push_back(Try);
+  Try->Request = State.Client.stream(Try->Peer, Forwarded,
+                                     Details.Limits.timeLeft(Try->Started),
+                                     std::move(Receiver), Choice);
+  SilenceTimer.startOnce(SilenceTime);
+}
+
+bool entry_call::isUnderWay(const attempt *Try) const {
+  return std::any_of(UnderWay.begin(), UnderWay.end(),
+                     [&](const attempt_ptr &P) { return P.get() == Try; });
+}
+
+/// Returns whether \p Head answers \p Try. The server may have restarted since
+/// the member table was updated, so a later life is accepted; an answer of an
+/// earlier life belongs to an earlier call.
+static bool matches(const net::http_headers &Headers, const call_id &Id,
+                    incarnation_number Incarnation) {
+  const std::string *AnsweredId = Headers.find(CallIdHeader);
+  if (!AnsweredId || *AnsweredId != Id.str())
+    return false;
+  const std::string *Life = Headers.find(ServerIncarnationHeader);
+  if (!Life)
+    return true;
+  incarnation_number Answered = 0;
+  std::from_chars(Life->data(), Life->data() + Life->size(), Answered);
+  return Answered >= Incarnation;
+}
+
+static try_outcome outcomeOf(const net::http_headers &Headers) {
+  const std::string *Outcome = Headers.find(OutcomeHeader);
+  if (Outcome && *Outcome == OutcomeNotRun)
+    return try_outcome::NotRun;
+  if (Outcome && *Outcome == OutcomeUnknown)
+    return try_outcome::Unknown;
+  return try_outcome::Answered;
+}
+
+void entry_call::onHead(const attempt_ptr &Try,
+                        const net::http_response &Head) {
+  if (Done)
+    return;
+  Try->Answer = Head;
+  Try->Mismatched = !matches(Head.Headers, Try->Id, Try->ServerIncarnation);
+  if (Try->Mismatched)
+    logEvent(event::AnswerMismatched,
+             Try->Id.str() + " from " + Try->Node.str());
+}
+
+void entry_call::onPart(const attempt_ptr &Try, std::string_view Part) {
+  if (Done || Try->Mismatched)
+    return;
+  if (!Try->Streaming) {
+    // The text of a refusal is not needed.
+    if (outcomeOf(Try->Answer->Headers) != try_outcome::Answered)
+      return;
+    Try->Answer->Body += Part;
+    if (Try->Answer->Body.size() > MaxCollectedBytes)
+      startStreaming(Try);
+    return;
+  }
+  if (Exchange.sendPart(Part) > MaxWaitingBytes)
+    State.Client.pause(Try->Request);
+}
+
+/// Prepares the headers of an answer for the caller.
+static void prepareAnswer(net::http_headers &Headers, const call_id &Id,
+                          bool Closing) {
+  eraseConnectionFields(Headers);
+  Headers.erase(LoadHeader);
+  Headers.erase(CallStateHeader);
+  Headers.set(CallIdHeader, Id.str());
+  if (!Headers.find(OutcomeHeader))
+    Headers.add(OutcomeHeader, OutcomeAnswered);
+  if (Closing)
+    Headers.add("Connection", "close");
+}
+
+void entry_call::startStreaming(const attempt_ptr &Try) {
+  Try->Streaming = true;
+  AnswerStarted = true;
+  SilenceTimer.cancel();
+  cancelTries(call_verdict::Failed, Try.get());
+  // The question about the call must not answer it a second time.
+  Asking = false;
+  if (Question)
+    State.Client.cancel(*std::exchange(Question, std::nullopt));
+  net::http_response Head = *Try->Answer;
+  Try->Answer->Body.clear();
+  prepareAnswer(Head.Headers, Details.Stated.Id, State.Closing);
+  Exchange.start(Head);
+  Exchange.onDrained([Weak = weak_from_this(), Request = Try->Request] {
+    if (auto Self = Weak.lock())
+      Self->State.Client.resume(Request);
+  });
+  if (Exchange.sendPart(std::exchange(Head.Body, {})) > MaxWaitingBytes)
+    State.Client.pause(Try->Request);
+}
+
+void entry_call::onEnd(const attempt_ptr &Try, const result<void> &End) {
+  if (!isUnderWay(Try.get()))
+    return;
+  std::erase(UnderWay, Try);
+  if (!End && Try->Streaming) {
+    observe(*Try, call_verdict::Failed);
+    logEvent(event::CallFailed,
+             Try->Id.str() + " cut in the middle: " + End.failure().message());
+    Exchange.abort();
+    return end("cut");
+  }
+  if (!End) {
+    observe(*Try, call_verdict::Failed);
+    bool Connected =
+        End.failure().Code != make_error_code(net_errc::ConnectFailed);
+    return onTryLost(Try,
+                     Connected ? try_outcome::Unknown : try_outcome::NotRun,
+                     End.failure().message());
+  }
+  if (Try->Mismatched) {
+    observe(*Try, call_verdict::Failed);
+    return onTryLost(Try, try_outcome::Unknown, "answer of another call");
+  }
+  try_outcome Outcome = outcomeOf(Try->Answer->Headers);
+  if (Outcome == try_outcome::Answered)
+    return onAnswered(Try);
+  bool Full = false;
+  if (const std::string *Load = Try->Answer->Headers.find(LoadHeader)) {
+    auto Reported = wire::decodeLoad(*Load);
+    Full = Reported && Reported->Limit > 0 &&
+           Reported->InFlight + Reported->Queued >= Reported->Limit;
+  }
+  bool Shed = Outcome == try_outcome::NotRun && Full;
+  observe(*Try, Shed ? call_verdict::Shed : call_verdict::Failed);
+  RetryForbidden |= Try->Answer->Headers.find(NoRetryHeader) != nullptr;
+  onTryLost(Try, Outcome,
+            Outcome == try_outcome::NotRun ? "refused by " + Try->Node.str()
+                                           : "no answer from the server");
+}
+
+void entry_call::onAnswered(const attempt_ptr &Try) {
+  observe(*Try, Try->Answer->Status >= 500 ? call_verdict::Failed
+                                           : call_verdict::Answered);
+  cancelTries(call_verdict::Failed, nullptr);
+  if (Try->Streaming) {
+    Exchange.finish();
+    return end(OutcomeAnswered);
+  }
+  deliver(std::move(*Try->Answer));
+}
+
+void entry_call::deliver(net::http_response Answer) {
+  prepareAnswer(Answer.Headers, Details.Stated.Id, State.Closing);
+  Exchange.reply(Answer);
+  end(OutcomeAnswered);
+}
+
+void entry_call::onTryLost(const attempt_ptr &Try, try_outcome Outcome,
+                           const std::string &Reason) {
+  if (Done)
+    return;
+  LastReason = Reason;
+  bool ServingNodeAnswered =
+      Try->Answer && !Try->Mismatched &&
+      outcomeOf(Try->Answer->Headers) != try_outcome::Answered;
+  bool Ask = Outcome == try_outcome::Unknown && !Details.Stated.Idempotent &&
+             !ServingNodeAnswered;
+  if (Ask)
+    return askState(Try);
+  MayHaveRun |= Outcome == try_outcome::Unknown;
+  if (!retry(Outcome, Reason))
+    settle();
+}
+
+/// The connection may be silent: a non-idempotent call is asked about, another
+/// one is sent elsewhere while the first try goes on.
+void entry_call::onSilence() {
+  if (Done || AnswerStarted || UnderWay.empty())
+    return;
+  attempt_ptr Try = UnderWay.back();
+  State.Client.closeIdle(Try->Peer);
+  if (!Details.Stated.Idempotent)
+    return askState(Try);
+  retry(try_outcome::Unknown,
+        "no answer for " + std::to_string(SilenceTime.count()) + " ms");
+}
+
+void entry_call::askState(const attempt_ptr &Try) {
+  milliseconds Left = Details.Limits.timeLeft(State.now());
+  if (Done || Asking || AnswerStarted)
+    return;
+  if (Left <= milliseconds(0)) {
+    MayHaveRun = true;
+    return settle();
+  }
+  Asking = true;
+  net::http_request Request;
+  Request.Target = CallStatePath + Try->Id.str();
+  Question = State.Client.send(
+      Try->Peer, Request, std::min(Left, QuestionTimeout),
+      [Self = shared_from_this(), Try](result<net::http_response> Reply) {
+        Self->Question.reset();
+        Self->Asking = false;
+        if (!Self->Done && !Self->AnswerStarted)
+          Self->onState(Try, std::move(Reply));
+      },
+      net::connection_choice::New);
+}
+
+void entry_call::askAgain(const attempt_ptr &Try, milliseconds Delay) {
+  Asking = true;
+  auto Timer = std::make_shared<net::timer>(State.Context.Loop, [] {});
+  *Timer = net::timer(State.Context.Loop, [Self = shared_from_this(), Try,
+                                           Timer]() mutable {
+    Self->State.Context.Loop.defer([Kept = std::exchange(Timer, nullptr)] {});
+    Self->Asking = false;
+    Self->askState(Try);
+    Self->settle();
+  });
+  Timer->startOnce(Delay);
+}
+
+void entry_call::onState(const attempt_ptr &Try,
+                         result<net::http_response> Reply) {
+  bool StillUnderWay = isUnderWay(Try.get());
+  if (!Reply) {
+    bool NodeGone =
+        Reply.failure().Code == make_error_code(net_errc::ConnectFailed);
+    if (!NodeGone)
+      return askAgain(Try, QuestionPause);
+    MayHaveRun = true;
+    LastReason = "serving node is gone: " + Reply.failure().message();
+    cancelTries(call_verdict::Failed, nullptr);
+    return settle();
+  }
+  const std::string *CallState = Reply->Headers.find(CallStateHeader);
+  std::string Answer = CallState ? *CallState : "no state";
+  logEvent(event::CallQuestioned,
+           Try->Id.str() + " at " + Try->Node.str() + ": " + Answer);
+  if (Answer == CallStateRunning)
+    return askAgain(Try, StillUnderWay ? SilenceTime : QuestionPause);
+  cancelTries(call_verdict::Failed, nullptr);
+  if (Answer == CallStateAnswered)
+    return deliver(std::move(*Reply));
+  if (Answer != CallStateUnknownId) {
+    MayHaveRun = true;
+    return settle();
+  }
+  // The serving node has marked the id as refused, so the call cannot run.
+  if (!retry(try_outcome::NotRun, "serving node does not know the call"))
+    settle();
+}
+
+bool entry_call::retry(try_outcome Outcome, const std::string &Reason) {
+  routing::ended_try Ended;
+  Ended.Outcome = Outcome;
+  Ended.Idempotent = Details.Stated.Idempotent;
+  Ended.ArrivedAsRetry = Details.Stated.IsRetry;
+  Ended.RetryForbidden = RetryForbidden;
+  Ended.Tries = Tries;
+  Ended.MaxTries = Details.Service->Retries.MaxTries;
+  Ended.TimeLeft = Details.Limits.timeLeft(State.now());
+  routing::retry_decision Decision = routing::decideRetry(Ended, budget());
+  logEvent(Decision.Retry ? event::CallRetried : event::CallNotRetried,
+           Details.Stated.Id.str() + ": " + Reason + ": " +
+               std::string(Decision.Reason));
+  if (!Decision.Retry)
+    return false;
+  State.Context.Metrics.count("gentianlug_retries_total");
+  sendTry();
+  return true;
+}
+
+/// Ends the call with an error when nothing can answer it any more.
+void entry_call::settle() {
+  if (Done || Asking || !UnderWay.empty())
+    return;
+  if (MayHaveRun)
+    return fail(502, OutcomeUnknown, LastReason);
+  fail(503, OutcomeNotRun, LastReason);
+}
+
+void entry_call::fail(int Status, const char *Outcome,
+                      const std::string &Reason) {
+  logEvent(Outcome == OutcomeNotRun ? event::CallRefused : event::CallFailed,
+           Details.Stated.Id.str() + ": " + Reason);
+  net::http_response Response = net::errorResponse(Status, Reason);
+  Response.Headers.add(OutcomeHeader, Outcome);
+  // This node has tried; tries of nodes further up would multiply.
+  if (Tries > 0)
+    Response.Headers.add(NoRetryHeader, "1");
+  prepareAnswer(Response.Headers, Details.Stated.Id, State.Closing);
+  Exchange.reply(Response);
+  end(Outcome);
+}
+
+void entry_call::cancelTries(call_verdict Verdict, const attempt *Except) {
+  std::vector<attempt_ptr> Kept;
+  for (const attempt_ptr &Try : std::exchange(UnderWay, {})) {
+    if (Try.get() == Except) {
+      Kept.push_back(Try);
+      continue;
+    }
+    observe(*Try, Verdict);
+    State.Client.cancel(Try->Request);
+  }
+  UnderWay = std::move(Kept);
+}
+
+void entry_call::observe(const attempt &Try, call_verdict Verdict) {
+  routing::call_observation Observation;
+  Observation.Verdict = Verdict;
+  steady_time Now = State.now();
+  Observation.Latency =
+      std::chrono::duration_cast<std::chrono::microseconds>(Now - Try.Started);
+  if (Try.Answer)
+    if (const std::string *Load = Try.Answer->Headers.find(LoadHeader))
+      Observation.Load = wire::decodeLoad(*Load);
+  auto Ejection = State.Table.callEnded(Try.Node, Observation, Now);
+  if (Ejection)
+    logEvent(event::EndpointEjected,
+             Ejection->Node.str() + " for " +
+                 std::to_string(Ejection->Time.count()) +
+                 " ms: " + Ejection->Reason);
+}
+
+void entry_call::end(const char *Outcome) {
+  if (std::exchange(Done, true))
+    return;
+  SilenceTimer.cancel();
+  if (Question)
+    State.Client.cancel(*std::exchange(Question, std::nullopt));
+  State.Context.Metrics.count(std::string("gentianlug_calls_total{outcome=\"") +
+                              Outcome + "\"}");
+  State.Context.Metrics.observe("gentianlug_call_seconds",
+                                State.now() - Started);
+  // The caller of this function may be an action of a timer of the call.
+  State.Context.Loop.defer([Self = shared_from_this()] {});
+  std::exchange(Ended, nullptr)();
+}
+
+} // namespace gentianlug::node
--- a/libs/node/src/entry_proxy.cpp
+++ b/libs/node/src/entry_proxy.cpp
@@ -1,99 +1,151 @@
 #include "entry_proxy.h"
 
-#include "gentianlug/net/net_errc.h"
+#include "entry_call.h"
+#include "entry_state.h"
 #include "gentianlug/node/call_headers.h"
 #include "gentianlug/observe/log.h"
+#include "gentianlug/routing/routing_errc.h"
 
 namespace gentianlug::node {
 
 using observe::event;
 using observe::logEvent;
+using routing::routing_errc;
+
+/// Connections kept to a peer; a busy entry node has as many calls in flight
+/// to one server.
+static constexpr std::size_t MaxIdlePerPeer = 64;
+
+static net::http_client_limits clientLimits() {
+  net::http_client_limits Limits;
+  Limits.MaxIdlePerPeer = MaxIdlePerPeer;
+  Limits.PingTarget = PingPath;
+  return Limits;
+}
 
 struct entry_proxy::impl {
-  serving_proxy::context Context;
+  entry_state State;
   outputs Outputs;
-  net::http_client Client;
-  std::shared_ptr<const routing_snapshot> Snapshot;
   std::size_t InFlight = 0;
   bool Draining = false;
 
-  impl(serving_proxy::context C, outputs O)
-      : Context(std::move(C)), Outputs(std::move(O)), Client(Context.Loop) {}
+  impl(serving_proxy::context C, zone_name OwnZone, outputs O)
+      : State(C, std::move(OwnZone), clientLimits()), Outputs(std::move(O)) {}
 
+  void onSnapshot(std::shared_ptr<const routing_snapshot> Next) {
+    State.Snapshot = std::move(Next);
+    State.Table.update(*State.Snapshot->Members);
+    std::set<zone_name> Out;
+    for (const auto &[Zone, Reason] : State.Snapshot->ZonesOut)
+      Out.insert(Zone);
+    State.Zones.update(Out, State.now());
+    if (!State.Snapshot->Configuration)
+      return;
+    std::map<service_name, routing::retry_budget> Budgets;
+    for (const config::service &Service :
+         State.Snapshot->Configuration->Configuration.Services) {
+      auto Known = State.Budgets.find(Service.Name);
+      auto Budget = Known == State.Budgets.end()
+                        ? routing::retry_budget(Service.Retries.Budget)
+                        : Known->second;
+      Budget.setShare(Service.Retries.Budget);
+      Budgets.emplace(Service.Name, Budget);
+    }
+    State.Budgets = std::move(Budgets);
+  }
+
+  /// Refuses a call of which no byte reached a server.
   void refuse(const net::http_exchange &Exchange, int Status,
-              const std::string &Reason) {
+              const std::string &Reason, bool Close) {
     logEvent(event::CallRefused, Exchange.request().Target + ": " + Reason);
-    Context.Metrics.count("gentianlug_calls_total{outcome=\"not-run\"}");
+    State.Context.Metrics.count("gentianlug_calls_total{outcome=\"not-run\"}");
     net::http_response Response = net::errorResponse(Status, Reason);
     Response.Headers.add(OutcomeHeader, OutcomeNotRun);
+    if (const std::string *Id = Exchange.request().Headers.find(CallIdHeader))
+      Response.Headers.add(CallIdHeader, *Id);
+    if (Close || State.Closing)
+      Response.Headers.add("Connection", "close");
     Exchange.reply(Response);
   }
 
+  static int statusOf(const error &Failure) {
+    if (Failure.Code == make_error_code(routing_errc::TooDeep))
+      return 508;
+    if (Failure.Code == make_error_code(routing_errc::DeadlinePassed))
+      return 504;
+    return 400;
+  }
+
   void onRequest(const net::http_exchange &Exchange) {
-    if (Draining)
-      return refuse(Exchange, 503, "node is stopping");
-    if (!Snapshot || !Snapshot->Configuration)
-      return refuse(Exchange, 503, "no configuration in force");
-    const config::route *Route = config::matchRoute(
-        Snapshot->Configuration->Configuration, Exchange.request().Target);
+    const net::http_request &Request = Exchange.request();
+    // A call with a depth belongs to a call that runs already.
+    bool IsNewWork = !Request.Headers.find(DepthHeader);
+    if (Draining && IsNewWork)
+      return refuse(Exchange, 503, "node is stopping", true);
+    if (!State.Snapshot || !State.Snapshot->Configuration)
+      return refuse(Exchange, 503, "no configuration in force", false);
+    if (IsNewWork && State.Snapshot->ZonesOut.count(State.OwnZone))
+      return refuse(Exchange, 503, "zone " + State.OwnZone.str() + " is out",
+                    true);
+    const config::site_configuration &Configuration =
+        State.Snapshot->Configuration->Configuration;
+    const config::route *Route =
+        config::matchRoute(Configuration, net::pathOf(Request.Target));
     if (!Route)
-      return refuse(Exchange, 404, "no route for this path");
-    for (const membership::member_record &Member : *Snapshot->Members)
-      if (Member.Service == Route->Service &&
-          Member.State == membership::member_state::Serving)
-        return forward(Exchange, *Route, Member);
-    refuse(Exchange, 503, "no server for " + Route->Service.str());
+      return refuse(Exchange, 404, "no route for this path", false);
+    if (Request.Body.size() > Route->MaxBodyBytes)
+      return refuse(Exchange, 413,
+                    "body is larger than " +
+                        std::to_string(Route->MaxBodyBytes) + " bytes",
+                    false);
+    startCall(Exchange, *Route,
+              *config::findService(Configuration, Route->Service));
   }
 
-  void forward(const net::http_exchange &Exchange, const config::route &Route,
-               const membership::member_record &Member) {
-    logEvent(event::CallRouted, Route.Name.str() + " to " + Member.Node.str());
+  void startCall(const net::http_exchange &Exchange, const config::route &Route,
+                 const config::service &Service) {
+    auto Stated = readStatedCall(Exchange.request(), Route, State.Gen);
+    if (!Stated)
+      return refuse(Exchange, statusOf(Stated.failure()),
+                    Stated.failure().message(), false);
+    auto Limits =
+        routing::limitCall(Stated->Limits, Route.Deadline, State.now());
+    if (!Limits)
+      return refuse(Exchange, statusOf(Limits.failure()),
+                    Limits.failure().message(), false);
     ++InFlight;
-    steady_time Start = Context.Clock.steadyNow();
-    Client.send(Member.PeerAddress, Exchange.request(), Route.Deadline,
-                [this, Exchange, Start](result<net::http_response> Answer) {
-                  --InFlight;
-                  Context.Metrics.observe("gentianlug_call_seconds",
-                                          Context.Clock.steadyNow() - Start);
-                  finish(Exchange, std::move(Answer));
-                  if (InFlight == 0)
-                    Outputs.Idle();
-                });
-  }
-
-  void finish(const net::http_exchange &Exchange,
-              result<net::http_response> Answer) {
-    if (!Answer &&
-        Answer.failure().Code == make_error_code(net::net_errc::ConnectFailed))
-      return refuse(Exchange, 503, Answer.failure().message());
-    if (!Answer) {
-      logEvent(event::CallFailed, Answer.failure().message());
-      Context.Metrics.count("gentianlug_calls_total{outcome=\"unknown\"}");
-      net::http_response Response =
-          net::errorResponse(504, Answer.failure().message());
-      Response.Headers.add(OutcomeHeader, OutcomeUnknown);
-      return Exchange.reply(Response);
-    }
-    Context.Metrics.count("gentianlug_calls_total{outcome=\"answered\"}");
-    Answer->Headers.erase("Connection");
-    Answer->Headers.erase("Transfer-Encoding");
-    Exchange.reply(*Answer);
+    std::make_shared<entry_call>(State, Exchange,
+                                 entry_call::details{std::move(*Stated),
+                                                     *Limits, &Route, &Service,
+                                                     State.Snapshot},
+                                 [this] {
+                                   if (--InFlight == 0)
+                                     Outputs.Idle();
+                                 })
+        ->start();
   }
 };
 
-entry_proxy::entry_proxy(serving_proxy::context Context, outputs Outputs)
-    : Impl(std::make_unique<impl>(std::move(Context), std::move(Outputs))) {}
+entry_proxy::entry_proxy(serving_proxy::context Context, zone_name OwnZone,
+                         outputs Outputs)
+    : Impl(std::make_unique<impl>(Context, std::move(OwnZone),
+                                  std::move(Outputs))) {}
 entry_proxy::~entry_proxy() = default;
 
 void entry_proxy::onSnapshot(std::shared_ptr<const routing_snapshot> Snapshot) {
-  Impl->Snapshot = std::move(Snapshot);
+  Impl->onSnapshot(std::move(Snapshot));
 }
 
 void entry_proxy::onRequest(const net::http_exchange &Exchange) {
   Impl->onRequest(Exchange);
 }
 
-void entry_proxy::drain() { Impl->Draining = true; }
+void entry_proxy::closeConnections() { Impl->State.Closing = true; }
+
+void entry_proxy::drain() {
+  Impl->State.Closing = true;
+  Impl->Draining = true;
+}
 
 std::size_t entry_proxy::callsInFlight() const { return Impl->InFlight; }
 
--- a/libs/node/src/entry_proxy.h
+++ b/libs/node/src/entry_proxy.h
@@ -15,7 +15,8 @@
     std::function<void()> Idle;
   };
 
-  entry_proxy(serving_proxy::context Context, outputs Outputs);
+  entry_proxy(serving_proxy::context Context, zone_name OwnZone,
+              outputs Outputs);
   ~entry_proxy();
 
   void onSnapshot(std::shared_ptr<const routing_snapshot> Snapshot);
@@ -23,7 +24,11 @@
   /// Handles one request of the caller listener.
   void onRequest(const net::http_exchange &Exchange);
 
-  /// Refuses new calls from now on.
+  /// Asks callers to close their connections, with each answer from now on.
+  void closeConnections();
+
+  /// Refuses new calls from now on, except those of a server that is still
+  /// working on a call.
   void drain();
 
   std::size_t callsInFlight() const;
--- a/libs/node/src/proxy_task.cpp
+++ b/libs/node/src/proxy_task.cpp
@@ -2,11 +2,40 @@
 
 #include "entry_proxy.h"
 #include "gentianlug/net/timer.h"
+#include "gentianlug/node/call_headers.h"
 #include "serving_proxy.h"
 
+#include <algorithm>
+
 namespace gentianlug::node {
 
-static constexpr std::chrono::milliseconds ReportPeriod{1000};
+using std::chrono::milliseconds;
+
+static constexpr milliseconds ReportPeriod{1000};
+
+/// After a stop request the node still takes calls for this time, in which
+/// other nodes learn that it is draining.
+static constexpr milliseconds DrainNotice{1000};
+/// Then it refuses calls and stays at least this long, for peers that learn
+/// late: a refusal is safe to retry, a closed connection may not be.
+static constexpr milliseconds RefusalTime{500};
+/// Bound on the whole stop beyond the longest deadline of a route.
+static constexpr milliseconds StopReserve{2000};
+
+namespace {
+
+/// How far a graceful stop has come.
+enum class stop_phase {
+  None,
+  /// Takes calls; other nodes and callers learn that the node goes.
+  Announcing,
+  /// Refuses new calls.
+  Refusing,
+  /// Stops as soon as no call is under way.
+  Finishing,
+};
+
+} // namespace
 
 struct proxy_task::impl {
   settings::node_settings Settings;
@@ -19,22 +48,27 @@
   net::http_server Callers;
   net::http_server Peers;
   net::timer ReportTimer;
+  net::timer StopTimer;
   net::mailbox<std::shared_ptr<const routing_snapshot>> Snapshots;
   net::mailbox<version_cut> Cuts;
   net::mailbox<stop_request> Stops;
-  bool Stopping = false;
+  std::shared_ptr<const routing_snapshot> Snapshot;
+  stop_phase Phase = stop_phase::None;
+  steady_time StopDeadline{};
 
   impl(net::event_loop &Loop, settings::node_settings S, outputs O)
       : Settings(std::move(S)), Outputs(std::move(O)), Loop(Loop),
         Serving(context(), {Outputs.Evidence, [this] { stopIfIdle(); }}),
-        Entry(context(), {[this] { stopIfIdle(); }}),
+        Entry(context(), Settings.Zone, {[this] { stopIfIdle(); }}),
         Callers(Loop, {},
                 [this](const net::http_exchange &E) { Entry.onRequest(E); }),
         Peers(Loop, {},
-              [this](const net::http_exchange &E) { Serving.onRequest(E); }),
+              [this](const net::http_exchange &E) { onPeerRequest(E); }),
         ReportTimer(Loop, [this] { report(); }),
+        StopTimer(Loop, [this] { onStopTimer(); }),
         Snapshots(Loop,
                   [this](const std::shared_ptr<const routing_snapshot> &Next) {
+                    Snapshot = Next;
                     Serving.onSnapshot(Next);
                     Entry.onSnapshot(Next);
                   }),
@@ -52,17 +86,55 @@
     Outputs.Report({"proxy", Metrics.render(), "{}", {}});
   }
 
+  void onPeerRequest(const net::http_exchange &Exchange) {
+    if (net::pathOf(Exchange.request().Target) == PingPath)
+      return Exchange.reply({});
+    Serving.onRequest(Exchange);
+  }
+
   void stop() {
-    Stopping = true;
-    Callers.stopListening();
-    Entry.drain();
-    Serving.drain();
-    stopIfIdle();
+    if (Phase != stop_phase::None)
+      return;
+    Phase = stop_phase::Announcing;
+    StopDeadline = Clock.steadyNow() + DrainNotice + StopReserve;
+    if (Snapshot && Snapshot->Configuration)
+      for (const config::route &Route :
+           Snapshot->Configuration->Configuration.Routes)
+        StopDeadline = std::max(StopDeadline, Clock.steadyNow() + DrainNotice +
+                                                  StopReserve + Route.Deadline);
+    Entry.closeConnections();
+    StopTimer.startOnce(DrainNotice);
   }
 
-  void stopIfIdle() {
-    if (!Stopping || Entry.callsInFlight() + Serving.callsInFlight() > 0)
+  void onStopTimer() {
+    switch (Phase) {
+    case stop_phase::None:
       return;
+    case stop_phase::Announcing:
+      Phase = stop_phase::Refusing;
+      Entry.drain();
+      Serving.drain();
+      Callers.closeIdle();
+      return StopTimer.startOnce(RefusalTime);
+    case stop_phase::Refusing:
+      Phase = stop_phase::Finishing;
+      StopTimer.startOnce(
+          std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(
+                                        StopDeadline - Clock.steadyNow())));
+      return stopIfIdle();
+    case stop_phase::Finishing:
+      return finishStop();
+    }
+  }
+
+  void stopIfIdle() {
+    if (Phase == stop_phase::Finishing &&
+        Entry.callsInFlight() + Serving.callsInFlight() == 0)
+      finishStop();
+  }
+
+  void finishStop() {
+    Callers.stopListening();
     Outputs.Drained();
     Loop.stop();
   }
--- a/libs/node/src/serving_proxy.cpp
+++ b/libs/node/src/serving_proxy.cpp
@@ -12,6 +12,12 @@
 /// Time that a call gets when its entry node names none.
 static constexpr std::chrono::milliseconds DefaultDeadline{2000};
 
+static void copyCallId(const net::http_exchange &Exchange,
+                       net::http_response &Response) {
+  if (const std::string *Id = Exchange.request().Headers.find(CallIdHeader))
+    Response.Headers.set(CallIdHeader, *Id);
+}
+
 struct serving_proxy::impl {
   context Context;
   outputs Outputs;
@@ -29,6 +35,7 @@
         "gentianlug_serving_calls_total{outcome=\"not-run\"}");
     net::http_response Response = net::errorResponse(503, Reason);
     Response.Headers.add(OutcomeHeader, OutcomeNotRun);
+    copyCallId(Exchange, Response);
     Exchange.reply(Response);
   }
 
@@ -62,6 +69,7 @@
     Answer->Headers.erase("Connection");
     Answer->Headers.erase("Transfer-Encoding");
     Answer->Headers.set(OutcomeHeader, OutcomeAnswered);
+    copyCallId(Exchange, *Answer);
     Exchange.reply(*Answer);
   }
 };
