--- /dev/null
+++ b/standins/caller_main.cpp
@@ -0,0 +1,30 @@
+#include "load_caller.h"
+#include "program.h"
+
+#include <cstdlib>
+
+using namespace gentianlug;
+using namespace gentianlug::standins;
+
+/// Usage: standin-caller '{"targets": ["HOST:PORT"], "rate": 100,
+/// "duration_ms": 5000, "calls": [{"path": "/orders"}]}'
+///
+/// Prints counts by outcome and latencies as one JSON object.
+int main(int Argc, char **Argv) {
+  auto Json = readArgument(Argc, Argv);
+  if (!Json)
+    return failProgram(Json.failure());
+  auto Settings = parseCallerSettings(*Json);
+  if (!Settings)
+    return failProgram(Settings.failure());
+  // Calls are due at fractions of a millisecond; the loop's default rounds up.
+  setenv("EVENT_PRECISE_TIMER", "1", 1);
+  std::signal(SIGPIPE, SIG_IGN);
+  net::event_loop Loop;
+  load_caller Caller(Loop, std::move(*Settings));
+  net::signal_watch Watch(Loop, {SIGTERM, SIGINT}, [&](int) { Loop.stop(); });
+  Caller.start();
+  Loop.run();
+  std::cout << Caller.report().dump() << std::endl;
+  return 0;
+}
--- /dev/null
+++ b/standins/caller_settings.cpp
@@ -0,0 +1,73 @@
+#include "caller_settings.h"
+
+#include "gentianlug/settings/object_reader.h"
+
+namespace gentianlug::standins {
+
+using settings::object_reader;
+using std::chrono::milliseconds;
+
+static constexpr milliseconds LongestTime{600000};
+static constexpr std::int64_t LargestBody = 64 << 20;
+
+static milliseconds readMillis(object_reader &Reader, const char *Key,
+                               milliseconds Fallback) {
+  return Reader.duration(Key, milliseconds(0), LongestTime,
+                         std::optional(Fallback));
+}
+
+static call_kind readKind(const nlohmann::json &Json, const std::string &Path,
+                          settings::fault_list &Faults) {
+  object_reader Reader(Json, Path, Faults);
+  call_kind Kind;
+  Kind.Method = Reader.text("method", Kind.Method);
+  Kind.Path = Reader.text("path");
+  Kind.Weight = Reader.fraction("weight", 0, 1000000, 1);
+  Kind.BodyBytes = std::size_t(Reader.number("body_bytes", 0, LargestBody, 0));
+  Kind.AnswerBytes =
+      std::size_t(Reader.number("answer_bytes", 0, LargestBody, 0));
+  Reader.finish();
+  return Kind;
+}
+
+result<caller_settings> parseCallerSettings(const nlohmann::json &Json) {
+  settings::fault_list Faults("argument");
+  nlohmann::json Own = Json;
+  caller_settings Settings;
+  if (Json.is_object() && Json.contains("targets"))
+    for (const nlohmann::json &Target : Json["targets"]) {
+      auto Address =
+          parseAddress(Target.is_string() ? Target.get<std::string>() : "");
+      if (Address)
+        Settings.Targets.push_back(*Address);
+      else
+        Faults.add("targets", Address.failure().message());
+    }
+  if (Json.is_object() && Json.contains("calls"))
+    for (const nlohmann::json &Kind : Json["calls"])
+      Settings.Kinds.push_back(readKind(Kind, "calls", Faults));
+  if (Own.is_object()) {
+    Own.erase("targets");
+    Own.erase("calls");
+  }
+  object_reader Reader(Own, "", Faults);
+  Settings.Rate = Reader.fraction("rate", 0.001, 1000000, 100);
+  Settings.Duration = readMillis(Reader, "duration_ms", Settings.Duration);
+  Settings.Seed = std::uint64_t(Reader.number("seed", 0, INT64_MAX, 1));
+  Settings.Deadline = readMillis(Reader, "deadline_ms", Settings.Deadline);
+  Settings.Timeout = readMillis(Reader, "timeout_ms", Settings.Timeout);
+  Settings.Customer = Reader.text("customer", "");
+  Settings.Retries = std::uint32_t(Reader.number("retries", 0, 10, 0));
+  Settings.OrderPrefix = Reader.text("order_prefix", Settings.OrderPrefix);
+  Settings.CallsFile = Reader.text("calls_file", "");
+  Reader.finish();
+  if (Settings.Targets.empty())
+    Faults.add("targets", "at least one address is needed");
+  if (Settings.Kinds.empty())
+    Faults.add("calls", "at least one kind of call is needed");
+  if (!Faults.empty())
+    return Faults.toError();
+  return Settings;
+}
+
+} // namespace gentianlug::standins
