--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -187,6 +187,8 @@
 void http_exchange::abort() const { Impl->abort(); }
 
 struct http_server::impl {
+  // First, because the streams of the connections refer to it.
+  std::uint64_t Bytes = 0;
   detail::server_connections Connections;
   evhttp *Http = nullptr;
   evhttp_bound_socket *Socket = nullptr;
@@ -198,7 +200,11 @@
         Handler(std::move(Handler)) {}
 
   static bufferevent *onAccept(event_base *, void *Argument) {
-    return static_cast<impl *>(Argument)->Connections.accept();
+    auto *Server = static_cast<impl *>(Argument);
+    bufferevent *Stream = Server->Connections.accept();
+    if (Stream)
+      detail::countBytes(Stream, Server->Bytes);
+    return Stream;
   }
 
   static void onRequest(evhttp_request *Raw, void *Argument) {
@@ -266,6 +272,8 @@
     evhttp_del_accept_socket(Impl->Http, std::exchange(Impl->Socket, nullptr));
 }
 
+std::uint64_t http_server::bytes() const { return Impl->Bytes; }
+
 void http_server::closeIdle() { Impl->Connections.closeIdle(); }
 
 } // namespace gentianlug::net
