Tell epoll of changed events once a round

A connection changes its events several times a request, and epoll_ctl took 7.5% of the cycles of an entry node.

--- a/libs/net/src/event_loop.cpp
+++ b/libs/net/src/event_loop.cpp
@@ -74,11 +74,22 @@
   }
 };
 
+static event_base *newBase() {
+  event_config *Config = event_config_new();
+  // A connection changes its events several times a request; with the change
+  // list epoll is told once a round. It needs that no socket is registered
+  // under two numbers, which holds here.
+  event_config_set_flag(Config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
+  event_base *Base = event_base_new_with_config(Config);
+  event_config_free(Config);
+  return Base;
+}
+
 event_loop::event_loop() {
   // Must run before the first base, so that signals from other threads lock.
   static const int ThreadsReady = evthread_use_pthreads();
   (void)ThreadsReady;
-  Base.reset(event_base_new());
+  Base.reset(newBase());
   Deferred = std::make_unique<deferred>(Base.get());
 }
 
