--- a/bench/lib/caller.lua
+++ b/bench/lib/caller.lua
@@ -42,4 +42,11 @@
   return (tonumber(values[12]) + tonumber(values[13])) * 10000
 end
 
+-- Returns the calls that a caller wrote to its calls_file.
+function caller.calls(path)
+  local calls = {}
+  for line in io.lines(path) do calls[#calls + 1] = json_decode(line) end
+  return calls
+end
+
 return caller
--- a/scenarios/cut_answer.lua
+++ b/scenarios/cut_answer.lua
@@ -35,7 +35,7 @@
 behave({ answer_bytes = 1000000, fault = { kind = "cut_answer" } })
 local status, text = http("POST", entry.caller, "/commandes", "glue")
 assert(status ~= 200, "a cut answer has status " .. status)
-behave({ answer_bytes = 0 })
+behave({ answer_bytes = 0, fault = { kind = "none" } })
 mesh.wait_until("calls are answered again", 30000, function()
   return http("POST", entry.caller, "/commandes", "after") == 200
 end)
--- a/standins/load_caller.cpp
+++ b/standins/load_caller.cpp
@@ -26,13 +26,19 @@
 
 void load_caller::start() {
   Start = Clock.steadyNow();
+  StartWall = Clock.wallNow();
   NextDue = Start;
   sendDue();
 }
 
 nlohmann::json load_caller::report() const {
-  return Report.toJson(
-      std::chrono::duration_cast<microseconds>(LastEnd - Start));
+  nlohmann::json Json =
+      Report.toJson(std::chrono::duration_cast<microseconds>(LastEnd - Start));
+  Json["started_wall_ms"] =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          StartWall.time_since_epoch())
+          .count();
+  return Json;
 }
 
 /// Draws the pause to the next call, so that arrivals are independent.
--- a/standins/load_caller.h
+++ b/standins/load_caller.h
@@ -51,6 +51,7 @@
   net::timer NextTimer;
   caller_report Report;
   steady_time Start{};
+  wall_time StartWall{};
   steady_time NextDue{};
   steady_time LastEnd{};
   std::uint64_t Number = 0;
