--- a/libs/node/src/entry_proxy.cpp
+++ b/libs/node/src/entry_proxy.cpp
@@ -104,7 +104,7 @@
 
   void startCall(const net::http_exchange &Exchange, const config::route &Route,
                  const config::service &Service) {
-    auto Stated = readStatedCall(Exchange.request(), Route, State.Gen);
+    auto Stated = readStatedCall(Exchange.request(), Route, State.IdGen);
     if (!Stated)
       return refuse(Exchange, statusOf(Stated.failure()),
                     Stated.failure().message(), false);
--- a/libs/node/src/entry_state.h
+++ b/libs/node/src/entry_state.h
@@ -20,6 +20,10 @@
   zone_name OwnZone;
   net::http_client Client;
   generator Gen;
+  /// For call ids, which must differ between nodes and between the lives of a
+  /// node even when all have the same seed: the ledger of a serving node takes
+  /// calls of one id for one call.
+  generator IdGen;
   /// Null until the first snapshot arrives.
   std::shared_ptr<const routing_snapshot> Snapshot;
   routing::endpoint_table Table;
@@ -33,9 +37,15 @@
   entry_state(serving_proxy::context C, zone_name Zone,
               net::http_client_limits Limits)
       : Context(C), OwnZone(std::move(Zone)), Client(C.Loop, Limits),
-        Gen(C.Seed ? C.Seed : std::random_device()()),
+        Gen(C.Seed ? C.Seed : std::random_device()()), IdGen(seedIds()),
         Picker(std::make_unique<routing::two_choices_picker>()) {}
 
+  static generator seedIds() {
+    std::random_device Device;
+    std::seed_seq Seeds{Device(), Device(), Device(), Device()};
+    return generator(Seeds);
+  }
+
   steady_time now() const { return Context.Clock.steadyNow(); }
 };
 
