--- a/libs/operator/include/gentianlug/operator/accept.h
+++ b/libs/operator/include/gentianlug/operator/accept.h
@@ -3,28 +3,50 @@
 
 #include "gentianlug/config/model.h"
 #include "gentianlug/operator/sync_store.h"
-#include "gentianlug/platform/config_head.h"
+#include "gentianlug/platform/acceptance.h"
 
 #include <string>
 #include <vector>
 
 namespace gentianlug::operator_cli {
 
-/// Who wants a configuration accepted, and why.
+/// Who wants something accepted, and why.
 struct acceptance_request {
-  std::vector<config::site_configuration> Sites;
   std::string Author;
   std::string Reason;
   std::string WriteId;
+  /// Writes every object again, also those that the version in force has.
+  bool RewriteObjects = false;
+};
+
+/// What became of an acceptance.
+struct acceptance_result {
+  /// The content is in force already; nothing was written.
+  bool AlreadyInForce = false;
+  platform::accepted_version Version;
+  std::size_t ObjectsWritten = 0;
 };
 
 /// Writes parts and manifest, then moves the head to the next version.
 ///
-/// \returns the accepted head, or `operator_errc::NotAccepted` when somebody
-/// else was faster, `PlatformDown` when the platform does not answer.
-result<platform::config_head> acceptConfiguration(sync_store &Store,
-                                                  const acceptance_request &R,
-                                                  wall_time Now);
+/// \param Current the head that the operator has seen; if it has changed
+/// since, the race is lost.
+/// \returns `operator_errc::Refused` when somebody else was faster, naming the
+/// winner, or `PlatformDown`.
+result<acceptance_result>
+acceptConfiguration(sync_store &Store, const platform::observed_head &Current,
+                    const std::vector<config::site_configuration> &Sites,
+                    const acceptance_request &Request, wall_time Now);
+
+/// Accepts the content of the earlier version \p Back as a new version.
+///
+/// \returns as `acceptConfiguration`; `Refused` when the head no longer knows
+/// the version.
+result<acceptance_result> acceptEarlier(sync_store &Store,
+                                        const platform::observed_head &Current,
+                                        config_version Back,
+                                        const acceptance_request &Request,
+                                        wall_time Now);
 
 } // namespace gentianlug::operator_cli
 
--- /dev/null
+++ b/libs/operator/include/gentianlug/operator/mesh_reader.h
@@ -0,0 +1,52 @@
+#ifndef GENTIANLUG_OPERATOR_MESH_READER_H
+#define GENTIANLUG_OPERATOR_MESH_READER_H
+
+#include "gentianlug/config/parts.h"
+#include "gentianlug/operator/sync_store.h"
+#include "gentianlug/platform/acceptance.h"
+#include "gentianlug/platform/zone_state.h"
+#include "gentianlug/platform/zone_status.h"
+#include "gentianlug/rollout/rollout_state.h"
+
+namespace gentianlug::operator_cli {
+
+// Reads the platform's objects. All functions return
+// `operator_errc::PlatformDown` when the platform does not answer, and
+// `operator_errc::Refused` when a value is malformed or missing.
+
+/// Reads the head; version and revision are 0 before the first version.
+result<platform::observed_head> readHead(sync_store &Store);
+
+result<platform::config_manifest> readManifest(sync_store &Store,
+                                               const std::string &Hash);
+
+/// Reads one site of a version.
+///
+/// \param Known parts that need not be read, for example those of a compiled
+/// configuration that is to be compared.
+result<config::site_configuration> readSite(sync_store &Store,
+                                            const platform::site_manifest &Site,
+                                            const config::part_map &Known);
+
+/// What the nodes report about the configuration in force.
+struct status_view {
+  std::vector<platform::zone_status> Zones;
+  /// Keys of malformed values.
+  std::vector<std::string> Unreadable;
+  object_revision Revision = 0;
+};
+result<status_view> readStatus(sync_store &Store);
+
+struct rollouts_view {
+  std::vector<rollout::rollout_state> Rollouts;
+  /// Keys of malformed values.
+  std::vector<std::string> Unreadable;
+};
+result<rollouts_view> readRollouts(sync_store &Store);
+
+/// Reads `live/zones`; without the object no zone is out.
+result<platform::zone_state> readZones(sync_store &Store);
+
+} // namespace gentianlug::operator_cli
+
+#endif // GENTIANLUG_OPERATOR_MESH_READER_H
--- /dev/null
+++ b/libs/operator/include/gentianlug/operator/operation_driver.h
@@ -0,0 +1,41 @@
+#ifndef GENTIANLUG_OPERATOR_OPERATION_DRIVER_H
+#define GENTIANLUG_OPERATOR_OPERATION_DRIVER_H
+
+#include "gentianlug/core/clock.h"
+#include "gentianlug/net/event_loop.h"
+
+#include <chrono>
+
+namespace gentianlug::operator_cli {
+
+/// Lets a command wait for an answer or a delay without spinning. Tests set
+/// the clock instead of waiting.
+class operation_driver : public clock {
+public:
+  /// Blocks until `wake`.
+  virtual void wait() = 0;
+  virtual void wake() = 0;
+
+  /// Blocks for \p Delay.
+  virtual void pause(std::chrono::milliseconds Delay) = 0;
+};
+
+/// Waits in an event loop, so that the answers can arrive.
+class event_loop_driver final : public operation_driver {
+public:
+  explicit event_loop_driver(net::event_loop &Loop) : Loop(Loop) {}
+
+  void wait() override { Loop.run(); }
+  void wake() override { Loop.stop(); }
+  void pause(std::chrono::milliseconds Delay) override;
+  steady_time steadyNow() const override { return Machine.steadyNow(); }
+  wall_time wallNow() const override { return Machine.wallNow(); }
+
+private:
+  net::event_loop &Loop;
+  gentianlug::system_clock Machine;
+};
+
+} // namespace gentianlug::operator_cli
+
+#endif // GENTIANLUG_OPERATOR_OPERATION_DRIVER_H
--- a/libs/operator/include/gentianlug/operator/operator_errc.h
+++ b/libs/operator/include/gentianlug/operator/operator_errc.h
@@ -8,9 +8,10 @@
 /// Errors of the operators' commands.
 enum class operator_errc {
   BadArguments = 701,
-  /// The configuration was not accepted.
-  NotAccepted = 702,
+  /// The command was understood and refused.
+  Refused = 702,
   PlatformDown = 703,
+  TimedOut = 704,
 };
 
 std::error_code make_error_code(operator_errc Code);
--- a/libs/operator/src/accept.cpp
+++ b/libs/operator/src/accept.cpp
@@ -2,105 +2,206 @@
 
 #include "gentianlug/config/parts.h"
 #include "gentianlug/core/hash.h"
+#include "gentianlug/operator/mesh_reader.h"
 #include "gentianlug/operator/operator_errc.h"
 #include "gentianlug/platform/keys.h"
-#include "gentianlug/platform/platform_errc.h"
 #include "gentianlug/wire/platform_values.h"
 
+#include <set>
+
 namespace gentianlug::operator_cli {
 
+using platform::accepted_version;
 using platform::config_head;
+using platform::observed_head;
 using platform::platform_errc;
+using platform::write_outcome;
 
-static bool hasCode(const error &Failure, platform_errc Code) {
-  return Failure.Code == make_error_code(Code);
-}
+/// Writes of the head after lost answers, before the command gives up.
+static constexpr unsigned MaxHeadWrites = 5;
 
-static error platformFailure(const error &Cause) {
-  bool NoAnswer = hasCode(Cause, platform_errc::NoAnswer);
-  return makeError(NoAnswer ? operator_errc::PlatformDown
-                            : operator_errc::NotAccepted,
-                   Cause.message());
-}
+namespace {
 
-/// Writes a content-addressed object; one that exists already is the same.
-static result<void> writeContent(sync_store &Store, const std::string &Text) {
-  auto Written = Store.put(platform::contentKey(contentHash(Text)), Text, 0);
-  if (Written || hasCode(Written.failure(), platform_errc::Conflict))
-    return {};
-  return platformFailure(Written.failure());
-}
+/// The objects of a version: texts by hash, the manifest last.
+struct version_objects {
+  std::map<std::string, std::string> Parts;
+  std::string ManifestText;
+};
+
+} // namespace
 
-static result<std::string> writeParts(sync_store &Store,
-                                      const acceptance_request &Request) {
+static version_objects
+cutSites(const std::vector<config::site_configuration> &Sites) {
+  version_objects Objects;
   platform::config_manifest Manifest;
-  for (const config::site_configuration &Site : Request.Sites) {
+  for (const config::site_configuration &Site : Sites) {
     config::part_map Parts = config::cutIntoParts(Site);
-    for (const auto &[Name, Part] : Parts)
-      if (auto Written = writeContent(Store, Part.Text); !Written)
-        return Written.failure();
     config::part_hashes Hashes = config::hashesOf(Parts);
     Manifest.Sites[Site.Site] = {config::rootHash(Hashes), Hashes};
+    for (auto &[Name, Part] : Parts)
+      Objects.Parts.emplace(Part.Hash, std::move(Part.Text));
   }
-  std::string Text = wire::encode(Manifest);
-  if (auto Written = writeContent(Store, Text); !Written)
-    return Written.failure();
-  return contentHash(Text);
+  Objects.ManifestText = wire::encode(Manifest);
+  return Objects;
 }
 
-/// The head with its revision; revision 0 before the first version.
-struct current_head {
-  config_head Head;
-  object_revision Revision = 0;
-};
+/// Returns the hashes that the version in force refers to. An unreadable
+/// manifest protects nothing, so everything is written.
+static result<std::set<std::string>> hashesInForce(sync_store &Store,
+                                                   const config_head &Head) {
+  std::set<std::string> Hashes;
+  if (Head.Version == 0)
+    return Hashes;
+  auto Manifest = readManifest(Store, Head.ManifestHash);
+  if (!Manifest &&
+      Manifest.failure().Code == make_error_code(operator_errc::PlatformDown))
+    return Manifest.failure();
+  if (!Manifest)
+    return Hashes;
+  for (const auto &[Name, Site] : Manifest->Sites)
+    for (const auto &[Part, Hash] : Site.Parts)
+      Hashes.insert(Hash);
+  return Hashes;
+}
 
-static result<current_head> readHead(sync_store &Store) {
-  auto Object = Store.get(platform::ConfigHeadKey);
-  if (!Object && hasCode(Object.failure(), platform_errc::NotFound))
-    return current_head{};
-  if (!Object)
-    return platformFailure(Object.failure());
-  auto Head = wire::decodeConfigHead(Object->Value);
-  if (!Head)
-    return makeError(operator_errc::NotAccepted, Head.failure().message());
-  return current_head{*Head, Object->Revision};
+static error contentFailure(const error &Cause) {
+  if (Cause.Code == make_error_code(operator_errc::PlatformDown))
+    return Cause;
+  return makeError(operator_errc::Refused, Cause.message());
 }
 
-static error lostRace(const config_head &Winner) {
-  return makeError(operator_errc::NotAccepted,
+/// Writes what \p Present lacks; returns the number of objects written.
+static result<std::size_t> writeObjects(sync_store &Store,
+                                        const version_objects &Objects,
+                                        const std::set<std::string> &Present) {
+  std::size_t Count = 0;
+  for (const auto &[Hash, Text] : Objects.Parts) {
+    if (Present.count(Hash))
+      continue;
+    auto Written = Store.putContent(platform::contentKey(Hash), Text);
+    if (!Written)
+      return contentFailure(Written.failure());
+    ++Count;
+  }
+  auto Written =
+      Store.putContent(platform::contentKey(contentHash(Objects.ManifestText)),
+                       Objects.ManifestText);
+  if (!Written)
+    return contentFailure(Written.failure());
+  return Count + 1;
+}
+
+static error lostRace(const accepted_version &Winner) {
+  return makeError(operator_errc::Refused,
                    Winner.Author + " was faster with version " +
                        std::to_string(Winner.Version) + " (" + Winner.Reason +
-                       "); look at it and apply again");
+                       "); nothing of yours was accepted. Look at it with "
+                       "diff and apply again");
 }
 
-result<config_head> acceptConfiguration(sync_store &Store,
+static error unknownOutcome(config_version Version, const error &Cause) {
+  return makeError(operator_errc::PlatformDown,
+                   "the answer to the write of version " +
+                       std::to_string(Version) +
+                       " was lost, so it may be accepted or not; the same "
+                       "apply can be repeated safely (" +
+                       Cause.message() + ")");
+}
+
+/// Writes the head; a lost answer is judged from what is read afterwards.
+static result<accepted_version> writeHead(sync_store &Store,
+                                          const observed_head &Current,
+                                          const config_head &Next) {
+  for (unsigned Try = 0; Try < MaxHeadWrites; ++Try) {
+    auto Written = Store.putIf(platform::ConfigHeadKey, wire::encode(Next),
+                               Current.Revision);
+    if (Written)
+      return *platform::findVersion(Next, Next.Version);
+    bool Open = hasCode(Written.failure(), platform_errc::NoAnswer) ||
+                hasCode(Written.failure(), platform_errc::Conflict);
+    if (!Open)
+      return contentFailure(Written.failure());
+    auto Observed = readHead(Store);
+    if (!Observed)
+      return unknownOutcome(Next.Version, Observed.failure());
+    auto Verdict = platform::judgeWrite(Next, Current.Revision, *Observed);
+    if (Verdict.Outcome == write_outcome::Accepted)
+      return Verdict.Version;
+    if (Verdict.Outcome == write_outcome::LostRace)
+      return lostRace(Verdict.Version);
+    if (Verdict.Outcome == write_outcome::Unknown)
+      return unknownOutcome(Next.Version, Written.failure());
+  }
+  return unknownOutcome(Next.Version,
+                        makeError(platform_errc::NoAnswer, "live/config"));
+}
+
+static result<acceptance_result>
+moveHead(sync_store &Store, const observed_head &Current,
+         const std::string &ManifestHash, std::size_t ObjectsWritten,
+         const acceptance_request &Request, wall_time Now) {
+  auto Accepted = writeHead(
+      Store, Current,
+      platform::nextHead(Current.Head, {ManifestHash, Request.Author,
+                                        Request.Reason, Now, Request.WriteId}));
+  if (!Accepted)
+    return Accepted.failure();
+  return acceptance_result{false, std::move(*Accepted), ObjectsWritten};
+}
+
+static acceptance_result alreadyInForce(const config_head &Head,
+                                        std::size_t ObjectsWritten) {
+  return {true, *platform::findVersion(Head, Head.Version), ObjectsWritten};
+}
+
+result<acceptance_result>
+acceptConfiguration(sync_store &Store, const observed_head &Current,
+                    const std::vector<config::site_configuration> &Sites,
+                    const acceptance_request &Request, wall_time Now) {
+  version_objects Objects = cutSites(Sites);
+  if (Objects.ManifestText.size() > config::MaxPartBytes)
+    return makeError(operator_errc::Refused,
+                     "the manifest has " +
+                         std::to_string(Objects.ManifestText.size()) +
+                         " bytes, more than one platform object holds; use "
+                         "fewer sites in one configuration");
+  std::string ManifestHash = contentHash(Objects.ManifestText);
+  bool Same = Current.Head.ManifestHash == ManifestHash;
+  if (Same && !Request.RewriteObjects)
+    return alreadyInForce(Current.Head, 0);
+  std::set<std::string> Present;
+  if (!Request.RewriteObjects) {
+    auto InForce = hashesInForce(Store, Current.Head);
+    if (!InForce)
+      return InForce.failure();
+    Present = std::move(*InForce);
+  }
+  auto Written = writeObjects(Store, Objects, Present);
+  if (!Written)
+    return Written.failure();
+  if (Same)
+    return alreadyInForce(Current.Head, *Written);
+  return moveHead(Store, Current, ManifestHash, *Written, Request, Now);
+}
+
+result<acceptance_result> acceptEarlier(sync_store &Store,
+                                        const observed_head &Current,
+                                        config_version Back,
                                         const acceptance_request &Request,
                                         wall_time Now) {
-  auto Current = readHead(Store);
-  if (!Current)
-    return Current.failure();
-  auto ManifestHash = writeParts(Store, Request);
-  if (!ManifestHash)
-    return ManifestHash.failure();
-  config_head Next{Current->Head.Version + 1,
-                   *ManifestHash,
-                   Request.Author,
-                   Request.Reason,
-                   Now,
-                   Request.WriteId};
-  auto Written =
-      Store.put(platform::ConfigHeadKey, wire::encode(Next), Current->Revision);
-  if (Written)
-    return Next;
-  // The answer may be lost after the write took effect: the write id tells.
-  auto After = readHead(Store);
-  if (!After)
-    return After.failure();
-  if (After->Head.WriteId == Request.WriteId)
-    return Next;
-  if (After->Revision != Current->Revision)
-    return lostRace(After->Head);
-  return platformFailure(Written.failure());
+  auto Earlier = platform::findVersion(Current.Head, Back);
+  if (!Earlier)
+    return makeError(operator_errc::Refused,
+                     "version " + std::to_string(Back) +
+                         " is not among the last " +
+                         std::to_string(platform::KeptVersions) +
+                         " versions; history lists them");
+  if (Earlier->ManifestHash == Current.Head.ManifestHash)
+    return alreadyInForce(Current.Head, 0);
+  // A version whose manifest is gone would be refused by every node.
+  if (auto Manifest = readManifest(Store, Earlier->ManifestHash); !Manifest)
+    return Manifest.failure();
+  return moveHead(Store, Current, Earlier->ManifestHash, 0, Request, Now);
 }
 
 } // namespace gentianlug::operator_cli
--- a/libs/operator/src/commands.cpp
+++ b/libs/operator/src/commands.cpp
@@ -1,199 +1,187 @@
 #include "gentianlug/operator/commands.h"
 
-#include "gentianlug/config/compile.h"
-#include "gentianlug/core/random.h"
-#include "gentianlug/operator/accept.h"
+#include "command_groups.h"
+#include "gentianlug/net/platform_client.h"
 #include "gentianlug/operator/operator_errc.h"
-#include "gentianlug/platform/keys.h"
-#include "gentianlug/settings/json_file.h"
-#include "gentianlug/wire/platform_values.h"
+#include "text.h"
 
-#include <cstdlib>
-#include <getopt.h>
 #include <iostream>
+#include <random>
+#include <unistd.h>
 
 namespace gentianlug::operator_cli {
 
 namespace {
 
-/// Options of all commands.
-struct options {
-  address Platform;
-  std::string Base;
-  std::vector<std::pair<site_name, std::string>> Overlays;
-  std::string Author = "unknown";
-  std::string Reason = "none given";
-  std::vector<std::string> Words;
+/// One command with its help.
+struct command_entry {
+  const char *Name;
+  result<command_report> (*Run)(command_context &);
+  bool NeedsPlatform;
+  const char *Summary;
+  const char *Help;
 };
 
 } // namespace
 
-static constexpr const char *Usage =
-    "Usage: gentianlug --platform HOST:PORT COMMAND [OPTION...]\n"
-    "\n"
-    "Commands:\n"
-    "  apply    --base FILE --overlay SITE=FILE... --author NAME --reason "
-    "TEXT\n"
-    "  status\n"
-    "\n"
-    "Exit codes: 0 done, 1 refused, 2 wrong usage, 3 platform down.\n";
-
-static int fail(const error &Failure) {
-  std::cerr << "gentianlug: " << Failure.message() << '\n';
-  if (Failure.Code == make_error_code(operator_errc::PlatformDown))
-    return PlatformDown;
-  return Refused;
-}
-
-static int badUsage(const std::string &Reason) {
-  std::cerr << "gentianlug: " << Reason << "\n\n" << Usage;
-  return BadUsage;
-}
+static constexpr command_entry Commands[] = {
+    {"check", runCheck, false, "compile the files and list every fault",
+     "gentianlug check --base FILE --overlay SITE=FILE...\n"},
+    {"explain", runExplain, false, "tell which file and line sets a value",
+     "gentianlug explain PATH --base FILE --overlay SITE=FILE...\n"
+     "\n"
+     "PATH is for example services.commandes.limits.slots, or the start of "
+     "one.\n"},
+    {"diff", runDiff, true, "tell what a change would do",
+     "gentianlug diff --platform HOST:PORT --base FILE --overlay "
+     "SITE=FILE...\n"
+     "gentianlug diff --platform HOST:PORT --back-to VERSION\n"},
+    {"apply", runApply, true, "accept a configuration or go back",
+     "gentianlug apply --platform HOST:PORT --base FILE --overlay "
+     "SITE=FILE...\n"
+     "    --author NAME --reason TEXT [--drop-site SITE]... [--rewrite]\n"
+     "    [--after-version NUMBER]\n"
+     "gentianlug apply --platform HOST:PORT --back-to VERSION --author NAME\n"
+     "    --reason TEXT\n"
+     "\n"
+     "  --drop-site SITE        leave out a site that is in force\n"
+     "  --rewrite               write all objects again, also those in force\n"
+     "  --after-version NUMBER  replace a malformed live/config; NUMBER is "
+     "the\n"
+     "                          newest version in force\n"},
+    {"status", runStatus, true, "tell what is in force, and where not yet",
+     "gentianlug status --platform HOST:PORT\n"},
+    {"history", runHistory, true, "list the last 10 accepted versions",
+     "gentianlug history --platform HOST:PORT\n"},
+    {"events", runEvents, true, "list versions, zone moves and rollouts",
+     "gentianlug events --platform HOST:PORT\n"},
+    {"rollout", runRollout, true, "look at a rollout, stop it, take it back",
+     "gentianlug rollout status SERVICE --platform HOST:PORT\n"
+     "gentianlug rollout pause|resume|take-back SERVICE --platform HOST:PORT\n"
+     "    --author NAME --reason TEXT\n"},
+    {"zone", runZone, true, "take a zone out or bring it back",
+     "gentianlug zone status --platform HOST:PORT\n"
+     "gentianlug zone out|in ZONE --platform HOST:PORT --author NAME\n"
+     "    --reason TEXT\n"},
+    {"wait", runWait, true, "wait for a version or a rollout",
+     "gentianlug wait version [NUMBER] --platform HOST:PORT [--timeout-s N]\n"
+     "gentianlug wait rollout SERVICE --platform HOST:PORT [--timeout-s N]\n"
+     "\n"
+     "Without NUMBER it waits for the newest accepted version. The exit code\n"
+     "is 0 when the version is in force everywhere or the rollout is done, 1\n"
+     "when it was refused or taken back, 4 after N seconds (default 600).\n"},
+    {"gc", runGc, true, "remove objects that no kept version needs",
+     "gentianlug gc --platform HOST:PORT\n"},
+};
 
-static result<config::source_file> readSource(const std::string &Path) {
-  auto Text = settings::readFile(Path);
-  if (!Text)
-    return Text.failure();
-  return config::source_file{Path, std::move(*Text)};
+static const command_entry *findCommand(const std::string &Name) {
+  for (const command_entry &Command : Commands)
+    if (Name == Command.Name)
+      return &Command;
+  return nullptr;
 }
 
-static int runApply(const options &Options) {
-  if (Options.Base.empty() || Options.Overlays.empty())
-    return badUsage("apply needs --base and at least one --overlay");
-  auto Base = readSource(Options.Base);
-  if (!Base)
-    return fail(Base.failure());
-  system_clock Clock;
-  acceptance_request Request;
-  for (const auto &[Site, Path] : Options.Overlays) {
-    auto Overlay = readSource(Path);
-    if (!Overlay)
-      return fail(Overlay.failure());
-    auto Compiled = config::compileSite(Site, *Base, *Overlay, Clock.wallNow());
-    if (!Compiled)
-      return fail(Compiled.failure());
-    Request.Sites.push_back(std::move(*Compiled));
+static std::string usage() {
+  std::string Text = "Usage: gentianlug COMMAND [WORD...] [OPTION...]\n\n";
+  for (const command_entry &Command : Commands) {
+    std::string Name = Command.Name;
+    Name.resize(10, ' ');
+    Text += "  " + Name + Command.Summary + "\n";
   }
-  generator Gen{std::random_device{}()};
-  Request.Author = Options.Author;
-  Request.Reason = Options.Reason;
-  Request.WriteId = drawHexId(Gen);
-  sync_store Store(Options.Platform);
-  auto Accepted = acceptConfiguration(Store, Request, Clock.wallNow());
-  if (!Accepted)
-    return fail(Accepted.failure());
-  std::cout << "Version " << Accepted->Version << " is accepted.\n";
-  return Success;
+  return Text + "\n--json prints one JSON object. COMMAND --help shows its "
+                "options.\nExit codes: 0 done, 1 refused, 2 wrong usage, 3 "
+                "platform down, 4 timed out.\n";
 }
 
-static void printZone(const platform::zone_status &Status,
-                      config_version Accepted) {
-  std::uint32_t Current = 0;
-  std::uint32_t All = 0;
-  for (const auto &[Version, Nodes] : Status.NodesByVersion) {
-    All += Nodes;
-    if (Version == Accepted)
-      Current += Nodes;
-  }
-  std::cout << "Zone " << Status.Zone.str() << ": version " << Accepted
-            << " is in force on " << Current << " of " << All << " nodes.\n";
-  for (const platform::config_refusal &Refusal : Status.Refusals)
-    std::cout << "  Node " << Refusal.Node.str() << " refused version "
-              << Refusal.Version << ": " << Refusal.Reason << '\n';
+static std::string helpFor(const options &Options) {
+  const command_entry *Command =
+      Options.Words.empty() ? nullptr : findCommand(Options.Words[0]);
+  if (!Command)
+    return usage();
+  return std::string(Command->Help) + "\nThis is to " + Command->Summary +
+         ".\n";
 }
 
-static int runStatus(const options &Options) {
-  sync_store Store(Options.Platform);
-  auto Head = Store.get(platform::ConfigHeadKey);
-  if (!Head)
-    return fail(
-        makeError(operator_errc::PlatformDown, Head.failure().message()));
-  auto Decoded = wire::decodeConfigHead(Head->Value);
-  if (!Decoded)
-    return fail(Decoded.failure());
-  std::cout << "Version " << Decoded->Version << " is accepted, by "
-            << Decoded->Author << ": " << Decoded->Reason << ".\n";
-  auto Zones = Store.list(platform::StatusPrefix);
-  if (!Zones)
-    return fail(Zones.failure());
-  for (const platform::object &Object : Zones->Objects)
-    if (auto Status = wire::decodeZoneStatus(Object.Value))
-      printZone(*Status, Decoded->Version);
-  return Success;
+result<command_report> runCommand(command_context &Context) {
+  const options &Options = Context.Options;
+  if (Options.Words.empty())
+    return makeError(operator_errc::BadArguments, "no command given");
+  const command_entry *Command = findCommand(Options.Words[0]);
+  if (!Command)
+    return makeError(operator_errc::BadArguments,
+                     "unknown command \"" + Options.Words[0] + "\"");
+  if (Command->NeedsPlatform && Options.Platform.Port == 0)
+    return makeError(operator_errc::BadArguments, "--platform is missing");
+  return Command->Run(Context);
 }
 
-static constexpr option LongOptions[] = {
-    {"platform", required_argument, nullptr, 'p'},
-    {"base", required_argument, nullptr, 'b'},
-    {"overlay", required_argument, nullptr, 'o'},
-    {"author", required_argument, nullptr, 'a'},
-    {"reason", required_argument, nullptr, 'r'},
-    {"help", no_argument, nullptr, 'h'},
-    {"version", no_argument, nullptr, 'v'},
-    {nullptr, 0, nullptr, 0},
-};
+exit_code exitCodeOf(const error &Failure) {
+  if (Failure.Code == make_error_code(operator_errc::BadArguments))
+    return BadUsage;
+  if (Failure.Code == make_error_code(operator_errc::PlatformDown))
+    return PlatformDown;
+  if (Failure.Code == make_error_code(operator_errc::TimedOut))
+    return TimedOut;
+  return Refused;
+}
 
-static result<void> readOverlay(const std::string &Text, options &Options) {
-  auto Equals = Text.find('=');
-  if (Equals == std::string::npos || Equals == 0)
-    return makeError(operator_errc::BadArguments,
-                     "--overlay takes SITE=FILE, not \"" + Text + "\"");
-  Options.Overlays.emplace_back(site_name(Text.substr(0, Equals)),
-                                Text.substr(Equals + 1));
-  return {};
+static command_report reportFailure(const error &Failure) {
+  command_report Report;
+  Report.Code = exitCodeOf(Failure);
+  Report.add(describe(Failure));
+  return Report;
 }
 
-static result<void> readOption(int Option, options &Options) {
-  switch (Option) {
-  case 'p': {
-    auto Parsed = parseAddress(optarg);
-    if (!Parsed)
-      return makeError(operator_errc::BadArguments, Parsed.failure().message());
-    Options.Platform = *Parsed;
-    return {};
-  }
-  case 'b':
-    Options.Base = optarg;
-    return {};
-  case 'o':
-    return readOverlay(optarg, Options);
-  case 'a':
-    Options.Author = optarg;
-    return {};
-  case 'r':
-    Options.Reason = optarg;
-    return {};
-  default:
-    return makeError(operator_errc::BadArguments, "unknown option");
+static void print(const command_report &Report, const options &Options) {
+  if (Options.Json) {
+    nlohmann::json Json = Report.Facts;
+    Json["code"] = int(Report.Code);
+    Json["lines"] = Report.Lines;
+    // Values of the platform can hold any bytes.
+    std::cout << Json.dump(-1, ' ', false,
+                           nlohmann::json::error_handler_t::replace)
+              << '\n';
+    return;
   }
+  std::ostream &Out = Report.Code == Success ? std::cout : std::cerr;
+  for (const std::string &Line : Report.Lines)
+    Out << Line << '\n';
+  if (Report.Code == BadUsage)
+    Out << "gentianlug --help lists the commands.\n";
 }
 
 int runCommandLine(int Argc, char **Argv) {
-  options Options;
-  for (int Option;
-       (Option = getopt_long(Argc, Argv, "", LongOptions, nullptr)) != -1;) {
-    if (Option == 'h') {
-      std::cout << Usage;
-      return Success;
-    }
-    if (Option == 'v') {
-      std::cout << "gentianlug " GENTIANLUG_VERSION "\n";
-      return Success;
-    }
-    if (auto Read = readOption(Option, Options); !Read)
-      return badUsage(Read.failure().message());
+  auto Options = parseOptions(Argc, Argv);
+  if (!Options) {
+    print(reportFailure(Options.failure()), {});
+    return BadUsage;
   }
-  for (int Index = optind; Index < Argc; ++Index)
-    Options.Words.emplace_back(Argv[Index]);
-  if (Options.Words.empty())
-    return badUsage("no command given");
-  if (Options.Platform.Port == 0)
-    return badUsage("--platform is missing");
-  if (Options.Words[0] == "apply")
-    return runApply(Options);
-  if (Options.Words[0] == "status")
-    return runStatus(Options);
-  return badUsage("unknown command \"" + Options.Words[0] + "\"");
+  if (Options->ShowHelp) {
+    std::cout << helpFor(*Options);
+    return Success;
+  }
+  if (Options->ShowVersion) {
+    std::cout << "gentianlug " GENTIANLUG_VERSION "\n";
+    return Success;
+  }
+  net::event_loop Loop;
+  net::platform_client Client(Loop, Options->Platform);
+  event_loop_driver Driver(Loop);
+  generator Gen{std::random_device{}()};
+  sync_store Store(Client, Driver, Gen);
+  command_context Context{*Options, Store, Driver, Gen, {}};
+  if (!Options->Json && isatty(STDERR_FILENO) != 0)
+    Context.ShowProgress = [](const std::string &Text) {
+      std::cerr << "\r\033[K" << Text << std::flush;
+    };
+  auto Result = runCommand(Context);
+  if (Context.ShowProgress && Options->Words.size() > 1 &&
+      Options->Words[0] == "wait")
+    std::cerr << '\n';
+  command_report Report =
+      Result ? std::move(*Result) : reportFailure(Result.failure());
+  print(Report, *Options);
+  return Report.Code;
 }
 
 } // namespace gentianlug::operator_cli
--- /dev/null
+++ b/libs/operator/src/compile_commands.cpp
@@ -0,0 +1,96 @@
+#include "command_groups.h"
+#include "compile_input.h"
+#include "facts.h"
+#include "gentianlug/operator/operator_errc.h"
+#include "gentianlug/settings/json_file.h"
+#include "text.h"
+
+namespace gentianlug::operator_cli {
+
+static result<config::source_file> readSource(const std::string &Path) {
+  auto Text = settings::readFile(Path);
+  if (!Text)
+    return makeError(operator_errc::Refused, Text.failure().message());
+  return config::source_file{Path, std::move(*Text)};
+}
+
+result<config::compile_input> readInput(const options &Options, wall_time Now) {
+  if (Options.Base.empty() || Options.Overlays.empty())
+    return makeError(operator_errc::BadArguments,
+                     "--base and at least one --overlay are needed");
+  config::compile_input Input;
+  Input.Now = Now;
+  auto Base = readSource(Options.Base);
+  if (!Base)
+    return Base.failure();
+  Input.Base = std::move(*Base);
+  for (const auto &[Site, Path] : Options.Overlays) {
+    auto Overlay = readSource(Path);
+    if (!Overlay)
+      return Overlay.failure();
+    Input.Overlays.emplace_back(Site, std::move(*Overlay));
+  }
+  return Input;
+}
+
+error compileFailure(const std::vector<config::compile_fault> &Faults) {
+  std::string Text = "the configuration has " + std::to_string(Faults.size()) +
+                     (Faults.size() == 1 ? " fault:" : " faults:");
+  for (const config::compile_fault &Fault : Faults)
+    Text += "\n  " + Fault.str();
+  return makeError(operator_errc::Refused, Text);
+}
+
+static command_report reportFaults(const config::compile_output &Output) {
+  command_report Report;
+  Report.Facts["faults"] = factsOfAll(Output.Faults);
+  Report.Code = Output.Faults.empty() ? Success : Refused;
+  if (Report.Code == Refused)
+    Report.add(describe(compileFailure(Output.Faults)));
+  return Report;
+}
+
+result<command_report> runCheck(command_context &Context) {
+  auto Input = readInput(Context.Options, Context.Driver.wallNow());
+  if (!Input)
+    return Input.failure();
+  config::compile_output Output = config::compileAll(*Input);
+  command_report Report = reportFaults(Output);
+  if (Report.Code == Refused)
+    return Report;
+  for (const config::site_configuration &Site : Output.Sites)
+    Report.add("Site " + Site.Site.str() +
+               " is good: " + std::to_string(Site.Services.size()) +
+               " services, " + std::to_string(Site.Routes.size()) +
+               " routes, " + std::to_string(Site.Rollouts.size()) +
+               " rollouts, " + std::to_string(Site.Zones.size()) + " zones.");
+  return Report;
+}
+
+result<command_report> runExplain(command_context &Context) {
+  const std::vector<std::string> &Words = Context.Options.Words;
+  if (Words.size() != 2)
+    return makeError(operator_errc::BadArguments,
+                     "explain takes one path, for example "
+                     "services.commandes.limits.slots");
+  auto Input = readInput(Context.Options, Context.Driver.wallNow());
+  if (!Input)
+    return Input.failure();
+  command_report Report;
+  Report.Facts["values"] = nlohmann::json::array();
+  for (const auto &[Site, Overlay] : Input->Overlays) {
+    auto Origins = config::explainPath(Site, Input->Base, Overlay, Words[1],
+                                       Context.Driver.wallNow());
+    if (!Origins)
+      return makeError(operator_errc::Refused, Origins.failure().message());
+    for (const config::value_origin &Origin : *Origins) {
+      Report.add("Site " + Site.str() + ": " + describe(Origin));
+      nlohmann::json Facts = factsOf(Origin);
+      Facts["site"] = Site.str();
+      Report.Facts["values"].push_back(std::move(Facts));
+    }
+  }
+  return Report;
+}
+
+} // namespace gentianlug::operator_cli
--- /dev/null
+++ b/libs/operator/src/facts.cpp
@@ -0,0 +1,96 @@
+#include "facts.h"
+
+#include "text.h"
+
+namespace gentianlug::operator_cli {
+
+using nlohmann::json;
+
+std::int64_t millisOf(wall_time Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             Time.time_since_epoch())
+      .count();
+}
+
+json factsOf(const platform::accepted_version &Version) {
+  return {{"version", Version.Version},
+          {"author", Version.Author},
+          {"reason", Version.Reason},
+          {"accepted_at_ms", millisOf(Version.AcceptedAt)}};
+}
+
+json factsOf(const config::compile_fault &Fault) {
+  return {{"file", Fault.File},
+          {"line", Fault.Line},
+          {"path", Fault.Path},
+          {"reason", Fault.Reason}};
+}
+
+json factsOf(const config::config_change &Change) {
+  static constexpr const char *Kinds[] = {"added", "changed", "removed"};
+  json Fields = json::array();
+  for (const config::field_change &Field : Change.Fields) {
+    json Item{{"field", Field.Field}};
+    if (!Field.Before.empty())
+      Item["before"] = json::parse(Field.Before);
+    if (!Field.After.empty())
+      Item["after"] = json::parse(Field.After);
+    Fields.push_back(std::move(Item));
+  }
+  return {{"kind", Kinds[unsigned(Change.Kind)]},
+          {"section", Change.Section},
+          {"name", Change.Name},
+          {"fields", Fields}};
+}
+
+json factsOf(const config::value_origin &Origin) {
+  static constexpr const char *Sources[] = {"base", "overlay", "default"};
+  json Json{{"path", Origin.Path},
+            {"value", json::parse(Origin.Value)},
+            {"source", Sources[unsigned(Origin.Source)]}};
+  if (Origin.Source != config::value_source::Default) {
+    Json["file"] = Origin.File;
+    Json["line"] = Origin.Line;
+  }
+  return Json;
+}
+
+json factsOf(const zone_progress &Progress) {
+  return {{"zone", Progress.Zone.str()},
+          {"current", Progress.Current},
+          {"nodes", Progress.Nodes}};
+}
+
+json factsOf(const platform::config_refusal &Refusal) {
+  return {{"node", Refusal.Node.str()},
+          {"version", Refusal.Version},
+          {"reason", Refusal.Reason}};
+}
+
+json factsOf(const zone_name &Zone, const platform::zone_out &Out) {
+  return {{"zone", Zone.str()},
+          {"author", Out.Author},
+          {"reason", Out.Reason},
+          {"since_ms", millisOf(Out.Since)}};
+}
+
+json factsOf(const platform::zone_move &Move) {
+  return {{"zone", Move.Zone.str()},
+          {"out", Move.IsOut},
+          {"author", Move.Author},
+          {"reason", Move.Reason},
+          {"at_ms", millisOf(Move.At)}};
+}
+
+json factsOf(const rollout::rollout_state &State, wall_time Now) {
+  static constexpr const char *Outcomes[] = {"open", "done", "taken_back"};
+  return {{"service", State.Service.str()},
+          {"version", State.Version.str()},
+          {"phase", phaseText(State.Phase)},
+          {"outcome", Outcomes[unsigned(outcomeOf(State, Now))]},
+          {"share", State.Share},
+          {"reason", State.Reason},
+          {"finish_by_ms", millisOf(State.FinishBy)}};
+}
+
+} // namespace gentianlug::operator_cli
--- /dev/null
+++ b/libs/operator/src/mesh_reader.cpp
@@ -0,0 +1,125 @@
+#include "gentianlug/operator/mesh_reader.h"
+
+#include "gentianlug/operator/operator_errc.h"
+#include "gentianlug/platform/keys.h"
+#include "gentianlug/wire/platform_values.h"
+#include "gentianlug/wire/rollout_values.h"
+
+namespace gentianlug::operator_cli {
+
+using platform::platform_errc;
+
+/// Keeps `PlatformDown`; other errors of the store become `Refused`.
+static error readFailure(const error &Cause) {
+  if (Cause.Code == make_error_code(operator_errc::PlatformDown))
+    return Cause;
+  return makeError(operator_errc::Refused, Cause.message());
+}
+
+template <class T>
+static result<T> readValue(sync_store &Store, const std::string &Key,
+                           result<T> (*Decode)(std::string_view)) {
+  auto Object = Store.get(Key);
+  if (!Object)
+    return readFailure(Object.failure());
+  auto Value = Decode(Object->Value);
+  if (!Value)
+    return makeError(operator_errc::Refused,
+                     Key + " on the platform: " + Value.failure().message());
+  return Value;
+}
+
+result<platform::observed_head> readHead(sync_store &Store) {
+  auto Object = Store.get(platform::ConfigHeadKey);
+  if (!Object && hasCode(Object.failure(), platform_errc::NotFound))
+    return platform::observed_head{};
+  if (!Object)
+    return readFailure(Object.failure());
+  auto Head = wire::decodeConfigHead(Object->Value);
+  if (!Head)
+    return makeError(operator_errc::Refused,
+                     "live/config on the platform is malformed: " +
+                         Head.failure().message());
+  return platform::observed_head{std::move(*Head), Object->Revision};
+}
+
+result<platform::config_manifest> readManifest(sync_store &Store,
+                                               const std::string &Hash) {
+  return readValue(Store, platform::contentKey(Hash),
+                   wire::decodeConfigManifest);
+}
+
+result<config::site_configuration> readSite(sync_store &Store,
+                                            const platform::site_manifest &Site,
+                                            const config::part_map &Known) {
+  std::map<std::string, const config::part *> ByHash;
+  for (const auto &[Name, Part] : Known)
+    ByHash.emplace(Part.Hash, &Part);
+  config::part_map Parts;
+  for (const auto &[Name, Hash] : Site.Parts) {
+    auto Found = ByHash.find(Hash);
+    if (Found != ByHash.end()) {
+      Parts.emplace(Name, *Found->second);
+      continue;
+    }
+    auto Object = Store.get(platform::contentKey(Hash));
+    if (!Object)
+      return readFailure(Object.failure());
+    Parts.emplace(Name, config::part{Hash, std::move(Object->Value)});
+  }
+  auto Assembled = config::assemble(Parts, Site.RootHash);
+  if (!Assembled)
+    return makeError(operator_errc::Refused, Assembled.failure().message());
+  return Assembled;
+}
+
+/// Decodes a list of objects and collects the keys of malformed ones.
+template <class T>
+static std::vector<T> decodeAll(const platform::object_list &List,
+                                result<T> (*Decode)(std::string_view),
+                                std::vector<std::string> &Unreadable) {
+  std::vector<T> Values;
+  for (const platform::object &Object : List.Objects) {
+    auto Value = Decode(Object.Value);
+    if (Value)
+      Values.push_back(std::move(*Value));
+    else
+      Unreadable.push_back(Object.Key);
+  }
+  return Values;
+}
+
+result<status_view> readStatus(sync_store &Store) {
+  auto List = Store.list(platform::StatusPrefix);
+  if (!List)
+    return readFailure(List.failure());
+  status_view View;
+  View.Revision = List->Revision;
+  View.Zones = decodeAll(*List, wire::decodeZoneStatus, View.Unreadable);
+  return View;
+}
+
+result<rollouts_view> readRollouts(sync_store &Store) {
+  auto List = Store.list(platform::RolloutPrefix);
+  if (!List)
+    return readFailure(List.failure());
+  rollouts_view View;
+  View.Rollouts = decodeAll(*List, wire::decodeRolloutState, View.Unreadable);
+  return View;
+}
+
+result<platform::zone_state> readZones(sync_store &Store) {
+  auto Object = Store.get(platform::ZonesKey);
+  if (!Object && hasCode(Object.failure(), platform_errc::NotFound))
+    return platform::zone_state{};
+  if (!Object)
+    return readFailure(Object.failure());
+  auto State = wire::decodeZoneState(Object->Value);
+  if (!State)
+    return makeError(operator_errc::Refused,
+                     "live/zones on the platform is malformed: " +
+                         State.failure().message());
+  return State;
+}
+
+} // namespace gentianlug::operator_cli
--- /dev/null
+++ b/libs/operator/src/progress.cpp
@@ -0,0 +1,44 @@
+#include "gentianlug/operator/progress.h"
+
+namespace gentianlug::operator_cli {
+
+std::uint32_t version_progress::current() const {
+  std::uint32_t Sum = 0;
+  for (const zone_progress &Zone : Zones)
+    Sum += Zone.Current;
+  return Sum;
+}
+
+std::uint32_t version_progress::nodes() const {
+  std::uint32_t Sum = 0;
+  for (const zone_progress &Zone : Zones)
+    Sum += Zone.Nodes;
+  return Sum;
+}
+
+version_progress progressOf(const std::vector<platform::zone_status> &Zones,
+                            config_version Version) {
+  version_progress Progress;
+  for (const platform::zone_status &Status : Zones) {
+    zone_progress Zone{Status.Zone, 0, 0};
+    for (const auto &[Held, Nodes] : Status.NodesByVersion) {
+      Zone.Nodes += Nodes;
+      Zone.Current += Held >= Version ? Nodes : 0;
+    }
+    Progress.Zones.push_back(std::move(Zone));
+    for (const platform::config_refusal &Refusal : Status.Refusals)
+      if (Refusal.Version == Version)
+        Progress.Refusals.push_back(Refusal);
+  }
+  return Progress;
+}
+
+rollout_outcome outcomeOf(const rollout::rollout_state &State, wall_time Now) {
+  if (State.Phase == rollout::rollout_phase::Done)
+    return rollout_outcome::Done;
+  if (State.Phase == rollout::rollout_phase::TakenBack || State.FinishBy <= Now)
+    return rollout_outcome::TakenBack;
+  return rollout_outcome::Open;
+}
+
+} // namespace gentianlug::operator_cli
--- /dev/null
+++ b/libs/operator/src/rollout_commands.cpp
@@ -0,0 +1,75 @@
+#include "command_groups.h"
+#include "detail/conditional_update.h"
+#include "facts.h"
+#include "gentianlug/operator/mesh_reader.h"
+#include "gentianlug/operator/moves.h"
+#include "gentianlug/platform/keys.h"
+#include "gentianlug/wire/rollout_values.h"
+#include "text.h"
+
+namespace gentianlug::operator_cli {
+
+using rollout::rollout_state;
+
+static result<command_report> reportState(command_context &Context,
+                                          const service_name &Service) {
+  auto Observed = detail::observe(Context.Store, platform::rolloutKey(Service),
+                                  wire::decodeRolloutState);
+  if (!Observed)
+    return Observed.failure();
+  command_report Report;
+  if (!Observed->Value) {
+    Report.add("No rollout of " + Service.str() + " has started.");
+    Report.Facts["rollout"] = nullptr;
+    return Report;
+  }
+  wall_time Now = Context.Driver.wallNow();
+  Report.add(describe(*Observed->Value, Now));
+  Report.Facts["rollout"] = factsOf(*Observed->Value, Now);
+  return Report;
+}
+
+static result<command_report> moveRollout(command_context &Context,
+                                          const service_name &Service,
+                                          rollout_move Move) {
+  move_request Request{Context.Options.Author, Context.Options.Reason,
+                       drawHexId(Context.Gen), Context.Driver.wallNow()};
+  auto Decision = detail::updateConditionally<rollout_state>(
+      Context.Store, platform::rolloutKey(Service), wire::decodeRolloutState,
+      [&](const rollout_state *Current) {
+        return decideRolloutMove(Current, Move, Request);
+      },
+      [&](const rollout_state &State) { return describe(State, Request.Now); });
+  if (!Decision)
+    return Decision.failure();
+  if (Decision->Kind == move_kind::Refused)
+    return makeError(operator_errc::Refused, Decision->Reason);
+  command_report Report;
+  if (Decision->Kind == move_kind::Already)
+    Report.add("Nothing to do: " + Decision->Reason + ".");
+  Report.add(describe(Decision->Next, Request.Now));
+  Report.Facts["changed"] = Decision->Kind == move_kind::Write;
+  Report.Facts["rollout"] = factsOf(Decision->Next, Request.Now);
+  return Report;
+}
+
+result<command_report> runRollout(command_context &Context) {
+  const std::vector<std::string> &Words = Context.Options.Words;
+  if (Words.size() != 3)
+    return makeError(operator_errc::BadArguments,
+                     "rollout takes status, pause, resume or take-back and a "
+                     "service");
+  service_name Service(Words[2]);
+  if (Words[1] == "status")
+    return reportState(Context, Service);
+  if (Words[1] == "pause")
+    return moveRollout(Context, Service, rollout_move::Pause);
+  if (Words[1] == "resume")
+    return moveRollout(Context, Service, rollout_move::Resume);
+  if (Words[1] == "take-back")
+    return moveRollout(Context, Service, rollout_move::TakeBack);
+  return makeError(operator_errc::BadArguments,
+                   "rollout does not know \"" + Words[1] + "\"");
+}
+
+} // namespace gentianlug::operator_cli
--- /dev/null
+++ b/libs/operator/src/status_commands.cpp
@@ -0,0 +1,160 @@
+#include "command_groups.h"
+#include "facts.h"
+#include "gentianlug/operator/mesh_reader.h"
+#include "text.h"
+
+#include <algorithm>
+
+namespace gentianlug::operator_cli {
+
+namespace {
+
+/// All that `status` tells about.
+struct mesh_view {
+  platform::config_head Head;
+  status_view Status;
+  platform::zone_state Zones;
+  rollouts_view Rollouts;
+};
+
+/// One line of the list of events.
+struct event_line {
+  wall_time At;
+  std::string Text;
+  nlohmann::json Facts;
+};
+
+} // namespace
+
+static result<mesh_view> readMesh(sync_store &Store) {
+  auto Head = readHead(Store);
+  if (!Head)
+    return Head.failure();
+  auto Status = readStatus(Store);
+  if (!Status)
+    return Status.failure();
+  auto Zones = readZones(Store);
+  if (!Zones)
+    return Zones.failure();
+  auto Rollouts = readRollouts(Store);
+  if (!Rollouts)
+    return Rollouts.failure();
+  return mesh_view{std::move(Head->Head), std::move(*Status), std::move(*Zones),
+                   std::move(*Rollouts)};
+}
+
+static void reportVersion(const mesh_view &View, command_report &Report) {
+  version_progress Progress = progressOf(View.Status.Zones, View.Head.Version);
+  Report.Facts["zones"] = factsOfAll(Progress.Zones);
+  Report.Facts["everywhere"] = Progress.everywhere();
+  Report.Facts["refusals"] = factsOfAll(Progress.Refusals);
+  auto Newest = platform::findVersion(View.Head, View.Head.Version);
+  if (!Newest) {
+    Report.add("No version was accepted yet.");
+    return;
+  }
+  Report.Facts["version"] = factsOf(*Newest);
+  Report.add(describe(*Newest));
+  if (Progress.nodes() == 0)
+    Report.add("No node has reported yet.");
+  else
+    Report.add(Progress.everywhere() ? "It is in force everywhere."
+                                     : "It is not yet in force everywhere.");
+  for (const zone_progress &Zone : Progress.Zones)
+    Report.add(describe(Zone, View.Head.Version));
+  for (const platform::config_refusal &Refusal : Progress.Refusals)
+    Report.add(describe(Refusal));
+}
+
+static void reportZones(const platform::zone_state &Zones,
+                        command_report &Report) {
+  Report.Facts["zones_out"] = nlohmann::json::array();
+  for (const auto &[Zone, Out] : Zones.Out) {
+    Report.add(describe(Zone, Out));
+    Report.Facts["zones_out"].push_back(factsOf(Zone, Out));
+  }
+  if (Zones.Out.empty())
+    Report.add("No zone is out.");
+}
+
+static void reportRollouts(const rollouts_view &View, wall_time Now,
+                           command_report &Report) {
+  Report.Facts["rollouts"] = nlohmann::json::array();
+  for (const rollout::rollout_state &State : View.Rollouts) {
+    Report.add(describe(State, Now));
+    Report.Facts["rollouts"].push_back(factsOf(State, Now));
+  }
+  if (View.Rollouts.empty())
+    Report.add("No rollout has started.");
+}
+
+static void reportUnreadable(const mesh_view &View, command_report &Report) {
+  std::vector<std::string> Keys = View.Status.Unreadable;
+  Keys.insert(Keys.end(), View.Rollouts.Unreadable.begin(),
+              View.Rollouts.Unreadable.end());
+  for (const std::string &Key : Keys)
+    Report.add("The object " + Key + " on the platform cannot be read.");
+  Report.Facts["unreadable"] = Keys;
+}
+
+result<command_report> runStatus(command_context &Context) {
+  auto View = readMesh(Context.Store);
+  if (!View)
+    return View.failure();
+  command_report Report;
+  reportVersion(*View, Report);
+  reportZones(View->Zones, Report);
+  reportRollouts(View->Rollouts, Context.Driver.wallNow(), Report);
+  reportUnreadable(*View, Report);
+  return Report;
+}
+
+result<command_report> runHistory(command_context &Context) {
+  auto Head = readHead(Context.Store);
+  if (!Head)
+    return Head.failure();
+  std::vector<platform::accepted_version> Versions =
+      platform::knownVersions(Head->Head);
+  std::reverse(Versions.begin(), Versions.end());
+  command_report Report;
+  for (const platform::accepted_version &Version : Versions)
+    Report.add(describe(Version));
+  if (Versions.empty())
+    Report.add("No version was accepted yet.");
+  Report.Facts["versions"] = factsOfAll(Versions);
+  return Report;
+}
+
+static std::vector<event_line> collectEvents(const mesh_view &View,
+                                             wall_time Now) {
+  std::vector<event_line> Lines;
+  for (const platform::accepted_version &Version :
+       platform::knownVersions(View.Head))
+    Lines.push_back({Version.AcceptedAt, describe(Version), factsOf(Version)});
+  for (const platform::zone_move &Move : View.Zones.Moves)
+    Lines.push_back({Move.At, describe(Move), factsOf(Move)});
+  for (const rollout::rollout_state &State : View.Rollouts.Rollouts)
+    Lines.push_back({std::min(State.FinishBy, Now), describe(State, Now),
+                     factsOf(State, Now)});
+  std::stable_sort(
+      Lines.begin(), Lines.end(),
+      [](const event_line &A, const event_line &B) { return A.At < B.At; });
+  return Lines;
+}
+
+result<command_report> runEvents(command_context &Context) {
+  auto View = readMesh(Context.Store);
+  if (!View)
+    return View.failure();
+  command_report Report;
+  Report.Facts["events"] = nlohmann::json::array();
+  for (event_line &Line : collectEvents(*View, Context.Driver.wallNow())) {
+    Report.add(std::move(Line.Text));
+    Report.Facts["events"].push_back(std::move(Line.Facts));
+  }
+  if (Report.Lines.empty())
+    Report.add("Nothing has happened yet.");
+  return Report;
+}
+
+} // namespace gentianlug::operator_cli
--- a/libs/operator/src/sync_store.cpp
+++ b/libs/operator/src/sync_store.cpp
@@ -1,18 +1,21 @@
 #include "gentianlug/operator/sync_store.h"
 
 #include "gentianlug/core/error_table.h"
-#include "gentianlug/net/event_loop.h"
-#include "gentianlug/net/platform_client.h"
+#include "gentianlug/net/timer.h"
 #include "gentianlug/operator/operator_errc.h"
+#include "gentianlug/platform/retry_schedule.h"
 
 namespace gentianlug::operator_cli {
 
+using platform::platform_errc;
+
 static constexpr error_text OperatorTexts[] = {
     {int(operator_errc::BadArguments), "wrong arguments"},
-    {int(operator_errc::NotAccepted), "not accepted"},
+    {int(operator_errc::Refused), "refused"},
     {int(operator_errc::PlatformDown),
-     "the platform does not answer; nothing new can be accepted, everything in "
-     "force stays in force"},
+     "the platform does not answer or refuses calls; nothing new can be "
+     "accepted, everything in force stays in force"},
+    {int(operator_errc::TimedOut), "timed out"},
 };
 
 std::error_code make_error_code(operator_errc Code) {
@@ -20,44 +23,79 @@
   return {int(Code), Category};
 }
 
-struct sync_store::impl {
-  net::event_loop Loop;
-  net::platform_client Client;
+void event_loop_driver::pause(std::chrono::milliseconds Delay) {
+  net::timer Timer(Loop, [this] { Loop.stop(); });
+  Timer.startOnce(Delay);
+  Loop.run();
+}
 
-  explicit impl(const address &Platform) : Client(Loop, Platform) {}
+template <class T, class Operation>
+result<T> sync_store::once(const Operation &Start) {
+  std::optional<result<T>> Finished;
+  Start([&](result<T> Result) {
+    Finished = std::move(Result);
+    Driver.wake();
+  });
+  while (!Finished)
+    Driver.wait();
+  return std::move(*Finished);
+}
 
-  /// Runs the loop until the operation that \p Start begins has finished.
-  template <class T, class Operation> result<T> wait(Operation Start) {
-    std::optional<result<T>> Finished;
-    Start([&](result<T> Result) {
-      Finished = std::move(Result);
-      Loop.stop();
-    });
-    Loop.run();
-    return std::move(*Finished);
+template <class T, class Operation>
+result<T> sync_store::repeat(const Operation &Start, bool RetryNoAnswer) {
+  platform::retry_schedule Retries;
+  for (;;) {
+    result<T> Result = once<T>(Start);
+    if (Result)
+      return Result;
+    bool Silent = hasCode(Result.failure(), platform_errc::NoAnswer);
+    bool Limited = hasCode(Result.failure(), platform_errc::RateLimited);
+    if (!Limited && !(Silent && RetryNoAnswer))
+      return Result;
+    auto Delay = Retries.next(Gen);
+    if (!Delay)
+      return makeError(operator_errc::PlatformDown, Result.failure().message());
+    Driver.pause(*Delay);
   }
-};
-
-sync_store::sync_store(const address &Platform)
-    : Impl(std::make_unique<impl>(Platform)) {}
-sync_store::~sync_store() = default;
+}
 
 result<platform::object> sync_store::get(const std::string &Key) {
-  return Impl->wait<platform::object>(
-      [&](auto Done) { Impl->Client.get(Key, std::move(Done)); });
+  return repeat<platform::object>(
+      [&](auto Done) { Store.get(Key, std::move(Done)); }, true);
 }
 
-result<object_revision>
-sync_store::put(const std::string &Key, const std::string &Value,
-                std::optional<object_revision> Expected) {
-  return Impl->wait<object_revision>([&](auto Done) {
-    Impl->Client.put(Key, Value, Expected, std::move(Done));
-  });
+result<platform::object_list> sync_store::list(const std::string &Prefix) {
+  return repeat<platform::object_list>(
+      [&](auto Done) { Store.list(Prefix, std::move(Done)); }, true);
 }
 
-result<platform::object_list> sync_store::list(const std::string &Prefix) {
-  return Impl->wait<platform::object_list>(
-      [&](auto Done) { Impl->Client.list(Prefix, std::move(Done)); });
+result<platform::change_batch>
+sync_store::watch(const std::string &Prefix, object_revision After,
+                  std::chrono::milliseconds Wait) {
+  return repeat<platform::change_batch>(
+      [&](auto Done) { Store.watch(Prefix, After, Wait, std::move(Done)); },
+      true);
+}
+
+result<object_revision> sync_store::putIf(const std::string &Key,
+                                          const std::string &Value,
+                                          object_revision Expected) {
+  return repeat<object_revision>(
+      [&](auto Done) { Store.put(Key, Value, Expected, std::move(Done)); },
+      false);
+}
+
+result<object_revision> sync_store::putContent(const std::string &Key,
+                                               const std::string &Value) {
+  return repeat<object_revision>(
+      [&](auto Done) { Store.put(Key, Value, std::nullopt, std::move(Done)); },
+      true);
+}
+
+result<object_revision> sync_store::remove(const std::string &Key,
+                                           object_revision Expected) {
+  return repeat<object_revision>(
+      [&](auto Done) { Store.remove(Key, Expected, std::move(Done)); }, true);
 }
 
 } // namespace gentianlug::operator_cli
--- /dev/null
+++ b/libs/operator/src/text.cpp
@@ -0,0 +1,154 @@
+#include "text.h"
+
+#include "gentianlug/operator/operator_errc.h"
+
+#include <cstdio>
+#include <ctime>
+
+namespace gentianlug::operator_cli {
+
+using config::change_kind;
+using config::value_source;
+using rollout::rollout_phase;
+
+std::string timeText(wall_time Time) {
+  std::time_t Seconds = std::chrono::system_clock::to_time_t(Time);
+  std::tm Fields{};
+  gmtime_r(&Seconds, &Fields);
+  char Text[40];
+  std::strftime(Text, sizeof Text, "%Y-%m-%d %H:%M:%S UTC", &Fields);
+  return Text;
+}
+
+std::string phaseText(rollout_phase Phase) {
+  switch (Phase) {
+  case rollout_phase::Waiting:
+    return "waiting";
+  case rollout_phase::Growing:
+    return "growing";
+  case rollout_phase::Paused:
+    return "paused";
+  case rollout_phase::Done:
+    return "done";
+  case rollout_phase::TakenBack:
+    return "taken_back";
+  }
+  return "unknown";
+}
+
+std::string describe(const platform::accepted_version &Version) {
+  return "Version " + std::to_string(Version.Version) + " was accepted at " +
+         timeText(Version.AcceptedAt) + " by " + Version.Author + ": " +
+         Version.Reason + ".";
+}
+
+/// Returns the singular name of a section for sentences.
+static std::string entryText(const std::string &Section) {
+  if (Section == "availability_zones")
+    return "Zone";
+  if (Section == "customers")
+    return "Customer";
+  if (Section == "services")
+    return "Service";
+  if (Section == "routes")
+    return "Route";
+  if (Section == "rollouts")
+    return "Rollout of";
+  return Section;
+}
+
+static std::string describeField(const config::field_change &Field) {
+  if (Field.Before.empty())
+    return Field.Field + " becomes " + Field.After;
+  if (Field.After.empty())
+    return Field.Field + " (" + Field.Before + ") is removed";
+  return Field.Field + " changes from " + Field.Before + " to " + Field.After;
+}
+
+std::string describe(const config::config_change &Change) {
+  std::string Text = entryText(Change.Section);
+  if (Change.Section == "site")
+    Text = "The site as a whole";
+  else
+    Text += " " + Change.Name;
+  if (Change.Kind == change_kind::Removed)
+    return Text + " is removed.";
+  if (Change.Kind == change_kind::Added)
+    Text += " is added";
+  std::string Separator = ": ";
+  for (const config::field_change &Field : Change.Fields) {
+    Text += Separator;
+    Text += Change.Kind == change_kind::Added ? Field.Field + " " + Field.After
+                                              : describeField(Field);
+    Separator = ", ";
+  }
+  return Text + ".";
+}
+
+std::string describe(const config::value_origin &Origin) {
+  std::string Text = Origin.Path + " is " + Origin.Value;
+  if (Origin.Source == value_source::Default)
+    return Text + ", by default; no file sets it.";
+  return Text + ", set by the " +
+         (Origin.Source == value_source::Overlay ? "overlay" : "base") +
+         " in " + Origin.File + ", line " + std::to_string(Origin.Line) + ".";
+}
+
+std::string describe(const zone_progress &Progress, config_version Version) {
+  return "Zone " + Progress.Zone.str() + ": version " +
+         std::to_string(Version) + " is in force on " +
+         std::to_string(Progress.Current) + " of " +
+         std::to_string(Progress.Nodes) + " nodes.";
+}
+
+std::string describe(const platform::config_refusal &Refusal) {
+  return "Node " + Refusal.Node.str() + " refused version " +
+         std::to_string(Refusal.Version) + ": " + Refusal.Reason + ".";
+}
+
+std::string describe(const zone_name &Zone, const platform::zone_out &Out) {
+  return "Zone " + Zone.str() + " is out since " + timeText(Out.Since) +
+         ", by " + Out.Author + ": " + Out.Reason + ".";
+}
+
+std::string describe(const platform::zone_move &Move) {
+  return "Zone " + Move.Zone.str() +
+         (Move.IsOut ? " was taken out at " : " was brought back at ") +
+         timeText(Move.At) + " by " + Move.Author + ": " + Move.Reason + ".";
+}
+
+std::string describe(const rollout::rollout_state &State, wall_time Now) {
+  std::string Name =
+      "Rollout of " + State.Service.str() + " to " + State.Version.str();
+  if (State.Phase == rollout_phase::Done)
+    return Name + " is done.";
+  if (State.Phase == rollout_phase::TakenBack)
+    return Name + " was taken back: " +
+           (State.Reason.empty() ? "no reason given" : State.Reason) + ".";
+  std::string Finish = timeText(State.FinishBy);
+  if (State.FinishBy <= Now)
+    return Name + " counts as taken back: it was not done by " + Finish + ".";
+  char Share[16];
+  std::snprintf(Share, sizeof Share, "%.1f%%", State.Share * 100);
+  std::string Text = Name + " is " + phaseText(State.Phase) + " with " + Share +
+                     " of the calls";
+  if (State.Phase == rollout_phase::Paused && !State.Reason.empty())
+    Text += ", because: " + State.Reason;
+  return Text + "; it will be decided by " + Finish + ".";
+}
+
+std::string describe(const error &Failure) {
+  if (Failure.Code == make_error_code(operator_errc::Refused))
+    return "Refused: " + Failure.Detail;
+  if (Failure.Code == make_error_code(operator_errc::BadArguments))
+    return "Wrong usage: " + Failure.Detail;
+  if (Failure.Code == make_error_code(operator_errc::TimedOut))
+    return "Timed out: " + Failure.Detail;
+  if (Failure.Code == make_error_code(operator_errc::PlatformDown))
+    return "The platform does not answer or refuses calls. Nothing new can be "
+           "accepted now; everything in force stays in force. (" +
+           Failure.Detail + ")";
+  return "Refused: " + Failure.message();
+}
+
+} // namespace gentianlug::operator_cli
--- /dev/null
+++ b/libs/operator/src/text.h
@@ -0,0 +1,35 @@
+#ifndef GENTIANLUG_OPERATOR_TEXT_H
+#define GENTIANLUG_OPERATOR_TEXT_H
+
+#include "gentianlug/config/difference.h"
+#include "gentianlug/config/explain.h"
+#include "gentianlug/operator/progress.h"
+#include "gentianlug/platform/config_head.h"
+#include "gentianlug/platform/zone_state.h"
+
+#include <string>
+
+namespace gentianlug::operator_cli {
+
+// Plain sentences about what the commands find and decide.
+
+/// Returns "2026-12-04 18:00:00 UTC".
+std::string timeText(wall_time Time);
+
+std::string phaseText(rollout::rollout_phase Phase);
+
+std::string describe(const platform::accepted_version &Version);
+std::string describe(const config::config_change &Change);
+std::string describe(const config::value_origin &Origin);
+std::string describe(const zone_progress &Progress, config_version Version);
+std::string describe(const platform::config_refusal &Refusal);
+std::string describe(const zone_name &Zone, const platform::zone_out &Out);
+std::string describe(const platform::zone_move &Move);
+std::string describe(const rollout::rollout_state &State, wall_time Now);
+
+/// Returns the sentence for an error of a command.
+std::string describe(const error &Failure);
+
+} // namespace gentianlug::operator_cli
+
+#endif // GENTIANLUG_OPERATOR_TEXT_H
--- /dev/null
+++ b/libs/operator/src/wait_command.cpp
@@ -0,0 +1,180 @@
+#include "command_groups.h"
+#include "detail/conditional_update.h"
+#include "facts.h"
+#include "gentianlug/operator/mesh_reader.h"
+#include "gentianlug/platform/keys.h"
+#include "gentianlug/wire/rollout_values.h"
+#include "text.h"
+
+namespace gentianlug::operator_cli {
+
+using std::chrono::milliseconds;
+
+static constexpr std::chrono::seconds DefaultTimeout{600};
+/// Longest wait of one watch; a change ends it at once.
+static constexpr milliseconds WatchWait{5000};
+/// Pause after the platform failed all retries of one call.
+static constexpr milliseconds OutagePause{1000};
+
+namespace {
+
+/// What one look at the platform found.
+struct wait_look {
+  /// The report when the wait is over.
+  std::optional<command_report> Finished;
+  std::string Progress;
+  object_revision Revision = 0;
+  /// The state changes by itself at this time.
+  std::optional<wall_time> ChangesAt;
+};
+
+/// Looks until the wait is over. Between looks it waits for a change.
+class waiter {
+public:
+  waiter(command_context &Context, std::string Prefix)
+      : Context(Context), Prefix(std::move(Prefix)),
+        Deadline(Context.Driver.steadyNow() +
+                 Context.Options.Timeout.value_or(DefaultTimeout)) {}
+
+  result<command_report> run(const std::function<result<wait_look>()> &Look) {
+    for (;;) {
+      result<wait_look> Found = Look();
+      if (!Found && !isOutage(Found.failure()))
+        return Found.failure();
+      if (Found && Found->Finished)
+        return std::move(*Found->Finished);
+      show(Found ? Found->Progress : describe(Found.failure()));
+      if (Context.Driver.steadyNow() >= Deadline)
+        return Found ? makeError(operator_errc::TimedOut, Found->Progress)
+                     : Found.failure();
+      if (Found)
+        waitForChange(*Found);
+      else
+        Context.Driver.pause(std::min(OutagePause, timeLeft()));
+    }
+  }
+
+private:
+  static bool isOutage(const error &Failure) {
+    return Failure.Code == make_error_code(operator_errc::PlatformDown);
+  }
+
+  milliseconds timeLeft() const {
+    auto Left = Deadline - Context.Driver.steadyNow();
+    return std::max(milliseconds(1),
+                    std::chrono::duration_cast<milliseconds>(Left));
+  }
+
+  void show(const std::string &Text) const {
+    if (Context.ShowProgress)
+      Context.ShowProgress(Text);
+  }
+
+  /// An error of the watch needs no answer: the next look finds it again.
+  void waitForChange(const wait_look &Found) {
+    milliseconds Wait = std::min(WatchWait, timeLeft());
+    if (Found.ChangesAt) {
+      auto Until = std::chrono::duration_cast<milliseconds>(
+          *Found.ChangesAt - Context.Driver.wallNow());
+      Wait = std::clamp(Until, milliseconds(1), Wait);
+    }
+    auto Batch = Context.Store.watch(Prefix, Found.Revision, Wait);
+    if (!Batch)
+      Context.Driver.pause(std::min(OutagePause, timeLeft()));
+  }
+
+  command_context &Context;
+  std::string Prefix;
+  steady_time Deadline;
+};
+
+} // namespace
+
+/// A refusal ends the wait: a node does not try a refused version again.
+static result<wait_look> lookAtVersion(command_context &Context,
+                                       config_version Version) {
+  auto Status = readStatus(Context.Store);
+  if (!Status)
+    return Status.failure();
+  version_progress Progress = progressOf(Status->Zones, Version);
+  wait_look Look;
+  Look.Revision = Status->Revision;
+  Look.Progress = "version " + std::to_string(Version) + " is in force on " +
+                  std::to_string(Progress.current()) + " of " +
+                  std::to_string(Progress.nodes()) + " nodes";
+  if (!Progress.everywhere() && Progress.Refusals.empty())
+    return Look;
+  command_report Report;
+  Report.Facts["version"] = Version;
+  Report.Facts["zones"] = factsOfAll(Progress.Zones);
+  Report.Facts["refusals"] = factsOfAll(Progress.Refusals);
+  if (Progress.everywhere()) {
+    Report.add("Version " + std::to_string(Version) +
+               " is in force everywhere, on " +
+               std::to_string(Progress.nodes()) + " nodes.");
+  } else {
+    Report.Code = Refused;
+    for (const platform::config_refusal &Refusal : Progress.Refusals)
+      Report.add(describe(Refusal));
+  }
+  Look.Finished = std::move(Report);
+  return Look;
+}
+
+static result<wait_look> lookAtRollout(command_context &Context,
+                                       const service_name &Service) {
+  auto Observed = detail::observe(Context.Store, platform::rolloutKey(Service),
+                                  wire::decodeRolloutState);
+  if (!Observed)
+    return Observed.failure();
+  wait_look Look;
+  Look.Revision = Observed->Revision;
+  Look.Progress = "no rollout of " + Service.str() + " has started";
+  if (!Observed->Value)
+    return Look;
+  const rollout::rollout_state &State = *Observed->Value;
+  wall_time Now = Context.Driver.wallNow();
+  Look.Progress = describe(State, Now);
+  Look.ChangesAt = State.FinishBy;
+  rollout_outcome Outcome = outcomeOf(State, Now);
+  if (Outcome == rollout_outcome::Open)
+    return Look;
+  command_report Report;
+  Report.Code = Outcome == rollout_outcome::Done ? Success : Refused;
+  Report.add(Look.Progress);
+  Report.Facts["rollout"] = factsOf(State, Now);
+  Look.Finished = std::move(Report);
+  return Look;
+}
+
+static result<command_report> waitForVersion(command_context &Context,
+                                             config_version Version) {
+  return waiter(Context, platform::StatusPrefix).run([&] {
+    return lookAtVersion(Context, Version);
+  });
+}
+
+result<command_report> runWait(command_context &Context) {
+  const std::vector<std::string> &Words = Context.Options.Words;
+  if (Words.size() == 3 && Words[1] == "rollout") {
+    service_name Service(Words[2]);
+    return waiter(Context, platform::rolloutKey(Service)).run([&] {
+      return lookAtRollout(Context, Service);
+    });
+  }
+  if (Words.size() == 3 && Words[1] == "version")
+    if (auto Version = parseNumber(Words[2]); Version && *Version > 0)
+      return waitForVersion(Context, *Version);
+  if (Words.size() == 2 && Words[1] == "version") {
+    auto Head = readHead(Context.Store);
+    if (!Head)
+      return Head.failure();
+    if (Head->Head.Version == 0)
+      return makeError(operator_errc::Refused, "no version was accepted yet");
+    return waitForVersion(Context, Head->Head.Version);
+  }
+  return makeError(operator_errc::BadArguments,
+                   "wait takes version [NUMBER] or rollout SERVICE");
+}
+
+} // namespace gentianlug::operator_cli
--- /dev/null
+++ b/libs/operator/src/zone_commands.cpp
@@ -0,0 +1,127 @@
+#include "command_groups.h"
+#include "detail/conditional_update.h"
+#include "facts.h"
+#include "gentianlug/operator/mesh_reader.h"
+#include "gentianlug/operator/moves.h"
+#include "gentianlug/platform/keys.h"
+#include "gentianlug/wire/platform_values.h"
+#include "text.h"
+
+namespace gentianlug::operator_cli {
+
+using platform::zone_state;
+
+/// Part that holds the zones of a site.
+static constexpr const char *SitePart = "site";
+
+/// Adds the zones of one site; only the part with the zones is read.
+static result<void> addZones(sync_store &Store,
+                             const platform::site_manifest &Site,
+                             std::set<zone_name> &Zones) {
+  auto Hash = Site.Parts.find(SitePart);
+  if (Hash == Site.Parts.end())
+    return {};
+  config::part_hashes Only{*Hash};
+  auto Configuration = readSite(Store, {config::rootHash(Only), Only}, {});
+  if (!Configuration)
+    return Configuration.failure();
+  for (const config::availability_zone &Zone : Configuration->Zones)
+    Zones.insert(Zone.Name);
+  return {};
+}
+
+static result<std::set<zone_name>> readKnownZones(sync_store &Store) {
+  std::set<zone_name> Zones;
+  auto Head = readHead(Store);
+  if (!Head)
+    return Head.failure();
+  if (Head->Head.Version == 0)
+    return Zones;
+  auto Manifest = readManifest(Store, Head->Head.ManifestHash);
+  if (!Manifest)
+    return Manifest.failure();
+  for (const auto &[Name, Site] : Manifest->Sites)
+    if (auto Added = addZones(Store, Site, Zones); !Added)
+      return Added.failure();
+  return Zones;
+}
+
+static void addFacts(const zone_state &State, command_report &Report) {
+  Report.Facts["zones_out"] = nlohmann::json::array();
+  for (const auto &[Zone, Out] : State.Out)
+    Report.Facts["zones_out"].push_back(factsOf(Zone, Out));
+}
+
+static result<command_report> reportZones(command_context &Context) {
+  auto State = readZones(Context.Store);
+  if (!State)
+    return State.failure();
+  command_report Report;
+  for (const auto &[Zone, Out] : State->Out)
+    Report.add(describe(Zone, Out));
+  if (State->Out.empty())
+    Report.add("No zone is out.");
+  addFacts(*State, Report);
+  return Report;
+}
+
+static std::string describeState(const zone_state &State) {
+  std::string Text;
+  for (const auto &[Zone, Out] : State.Out)
+    Text += (Text.empty() ? "" : " ") + describe(Zone, Out);
+  return Text.empty() ? "No zone is out." : Text;
+}
+
+/// Bringing a zone back needs no configuration, so that it works also while
+/// the version in force cannot be read.
+static result<std::set<zone_name>> zonesForMove(command_context &Context,
+                                                bool TakeOut) {
+  if (!TakeOut)
+    return std::set<zone_name>{};
+  return readKnownZones(Context.Store);
+}
+
+static result<command_report> moveZone(command_context &Context,
+                                       const zone_name &Zone, bool TakeOut) {
+  auto Known = zonesForMove(Context, TakeOut);
+  if (!Known)
+    return Known.failure();
+  move_request Request{Context.Options.Author, Context.Options.Reason,
+                       drawHexId(Context.Gen), Context.Driver.wallNow()};
+  auto Decision = detail::updateConditionally<zone_state>(
+      Context.Store, platform::ZonesKey, wire::decodeZoneState,
+      [&](const zone_state *Current) {
+        return decideZoneMove(Current, *Known, Zone, TakeOut, Request);
+      },
+      describeState);
+  if (!Decision)
+    return Decision.failure();
+  if (Decision->Kind == move_kind::Refused)
+    return makeError(operator_errc::Refused, Decision->Reason);
+  command_report Report;
+  if (Decision->Kind == move_kind::Already)
+    Report.add("Nothing to do: " + Decision->Reason + ".");
+  else if (TakeOut)
+    Report.add("Zone " + Zone.str() +
+               " is taken out; it gets no new work within 3 s.");
+  else
+    Report.add("Zone " + Zone.str() +
+               " is back; its share of the calls grows over 10 s.");
+  Report.Facts["changed"] = Decision->Kind == move_kind::Write;
+  addFacts(Decision->Next, Report);
+  return Report;
+}
+
+result<command_report> runZone(command_context &Context) {
+  const std::vector<std::string> &Words = Context.Options.Words;
+  if (Words.size() == 2 && Words[1] == "status")
+    return reportZones(Context);
+  if (Words.size() == 3 && Words[1] == "out")
+    return moveZone(Context, zone_name(Words[2]), true);
+  if (Words.size() == 3 && Words[1] == "in")
+    return moveZone(Context, zone_name(Words[2]), false);
+  return makeError(operator_errc::BadArguments,
+                   "zone takes status, out ZONE or in ZONE");
+}
+
+} // namespace gentianlug::operator_cli
--- /dev/null
+++ b/libs/operator/tests/fake_store.h
@@ -0,0 +1,192 @@
+#ifndef GENTIANLUG_OPERATOR_TESTS_FAKE_STORE_H
+#define GENTIANLUG_OPERATOR_TESTS_FAKE_STORE_H
+
+#include "gentianlug/operator/commands.h"
+#include "gentianlug/operator/operator_errc.h"
+
+#include <CppUTest/TestHarness.h>
+#include <deque>
+#include <map>
+
+namespace gentianlug::operator_cli::test {
+
+using platform::object_change;
+using platform::platform_errc;
+
+/// A driver whose delays move a set clock.
+class fake_driver final : public operation_driver {
+public:
+  void wait() override { FAIL("the fake store answers at once"); }
+  void wake() override {}
+  void pause(std::chrono::milliseconds Delay) override { Clock.advance(Delay); }
+  steady_time steadyNow() const override { return Clock.steadyNow(); }
+  wall_time wallNow() const override { return Clock.wallNow(); }
+
+  manual_clock Clock;
+};
+
+/// What happens to one call.
+enum class fault { None, Down, RateLimited, LostAnswer };
+
+/// Objects in memory with faults that a test orders.
+class fake_store final : public platform::object_store {
+public:
+  explicit fake_store(fake_driver &Driver) : Driver(Driver) {}
+
+  void get(const std::string &Key, callback<platform::object> Done) override {
+    if (fails(Done))
+      return;
+    auto Entry = Objects.find(Key);
+    if (Entry == Objects.end())
+      return Done(makeError(platform_errc::NotFound, Key));
+    Done(Entry->second);
+  }
+
+  void put(const std::string &Key, const std::string &Value,
+           std::optional<object_revision> Expected,
+           callback<object_revision> Done) override {
+    // The hook may write through the store itself.
+    if (auto Hook = std::exchange(BeforeNextPut, nullptr))
+      Hook();
+    fault Fault = nextFault();
+    if (failsWith(Fault, Done))
+      return;
+    ++Puts;
+    if (Expected && *Expected != revisionOf(Key))
+      return Done(makeError(platform_errc::Conflict, Key));
+    Objects[Key] = {Key, Value, ++Revision};
+    if (Fault == fault::LostAnswer)
+      return Done(makeError(platform_errc::NoAnswer, Key));
+    Done(Revision);
+  }
+
+  void remove(const std::string &Key, object_revision Expected,
+              callback<object_revision> Done) override {
+    if (auto Hook = std::exchange(BeforeNextRemove, nullptr))
+      Hook();
+    if (fails(Done))
+      return;
+    if (revisionOf(Key) != Expected)
+      return Done(makeError(platform_errc::Conflict, Key));
+    Objects.erase(Key);
+    Done(++Revision);
+  }
+
+  void list(const std::string &Prefix,
+            callback<platform::object_list> Done) override {
+    if (fails(Done))
+      return;
+    platform::object_list List;
+    for (const auto &[Key, Object] : Objects)
+      if (Key.starts_with(Prefix))
+        List.Objects.push_back(Object);
+    List.Revision = Revision;
+    Done(std::move(List));
+  }
+
+  void watch(const std::string &, object_revision,
+             std::chrono::milliseconds Wait,
+             callback<platform::change_batch> Done) override {
+    if (fails(Done))
+      return;
+    Driver.pause(Wait);
+    if (auto Hook = std::exchange(OnNextWatch, nullptr))
+      Hook();
+    Done(platform::change_batch{{}, Revision});
+  }
+
+  /// Writes a value as another operator or a node would.
+  void set(const std::string &Key, const std::string &Value) {
+    Objects[Key] = {Key, Value, ++Revision};
+  }
+
+  object_revision revisionOf(const std::string &Key) const {
+    auto Entry = Objects.find(Key);
+    return Entry == Objects.end() ? 0 : Entry->second.Revision;
+  }
+
+  std::map<std::string, platform::object> Objects;
+  /// Faults of the next calls, then `Always` holds.
+  std::deque<fault> Faults;
+  fault Always = fault::None;
+  std::function<void()> BeforeNextPut;
+  std::function<void()> BeforeNextRemove;
+  std::function<void()> OnNextWatch;
+  unsigned Puts = 0;
+
+private:
+  fault nextFault() {
+    if (Faults.empty())
+      return Always;
+    fault Fault = Faults.front();
+    Faults.pop_front();
+    return Fault;
+  }
+
+  template <class Done> static bool failsWith(fault Fault, const Done &Then) {
+    if (Fault != fault::Down && Fault != fault::RateLimited)
+      return false;
+    Then(makeError(Fault == fault::Down ? platform_errc::NoAnswer
+                                        : platform_errc::RateLimited,
+                   "fault"));
+    return true;
+  }
+
+  template <class Done> bool fails(const Done &Then) {
+    return failsWith(nextFault(), Then);
+  }
+
+  fake_driver &Driver;
+  object_revision Revision = 0;
+};
+
+/// Runs commands against a fake platform.
+struct command_bench {
+  fake_driver Driver;
+  fake_store Objects{Driver};
+  generator Gen{7};
+  sync_store Store{Objects, Driver, Gen};
+
+  command_report run(std::vector<std::string> Words) {
+    Words.insert(Words.begin(), {"gentianlug", "--platform", "127.0.0.1:1"});
+    std::vector<char *> Argv;
+    for (std::string &Word : Words)
+      Argv.push_back(Word.data());
+    auto Options = parseOptions(int(Argv.size()), Argv.data());
+    CHECK(bool(Options));
+    command_context Context{*Options, Store, Driver, Gen, {}};
+    auto Report = runCommand(Context);
+    if (Report)
+      return *Report;
+    return {exitCodeOf(Report.failure()), {Report.failure().message()}, {}};
+  }
+
+  /// Applies a sample as the site `east`.
+  command_report apply(const std::string &Sample,
+                       const std::string &Author = "marie") {
+    return run(withFiles(Sample, {"apply", "--author", Author, "--reason",
+                                  "because of " + Sample}));
+  }
+
+  static std::vector<std::string> withFiles(const std::string &Sample,
+                                            std::vector<std::string> Words) {
+    std::string Folder =
+        std::string(GENTIANLUG_SOURCE_DIR) + "/examples/" + Sample;
+    std::string Overlay =
+        Sample == "beaudoin" ? "/qc-east.json" : "/sk-zapad.json";
+    Words.insert(Words.end(), {"--base", Folder + "/base.json", "--overlay",
+                               "east=" + Folder + Overlay});
+    return Words;
+  }
+
+  static bool says(const command_report &Report, const std::string &Text) {
+    for (const std::string &Line : Report.Lines)
+      if (Line.find(Text) != std::string::npos)
+        return true;
+    return false;
+  }
+};
+
+} // namespace gentianlug::operator_cli::test
+
+#endif // GENTIANLUG_OPERATOR_TESTS_FAKE_STORE_H
--- /dev/null
+++ b/libs/operator/tests/wait_gc_status_test.cpp
@@ -0,0 +1,192 @@
+#include "fake_store.h"
+#include "gentianlug/platform/keys.h"
+#include "gentianlug/wire/platform_values.h"
+#include "gentianlug/wire/rollout_values.h"
+
+using namespace gentianlug;
+using namespace gentianlug::operator_cli;
+using namespace gentianlug::operator_cli::test;
+
+/// Writes what a zone's relay reports.
+static void setStatus(command_bench &Bench, const std::string &Zone,
+                      std::map<config_version, std::uint32_t> Nodes,
+                      std::vector<platform::config_refusal> Refusals = {}) {
+  platform::zone_status Status;
+  Status.Zone = zone_name(Zone);
+  Status.Site = site_name("east");
+  Status.NodesByVersion = std::move(Nodes);
+  Status.Refusals = std::move(Refusals);
+  Bench.Objects.set(platform::statusKey(Status.Zone), wire::encode(Status));
+}
+
+static void setRollout(command_bench &Bench, rollout::rollout_phase Phase,
+                       std::chrono::seconds TimeLeft) {
+  rollout::rollout_state State;
+  State.Id = "a@v2@1";
+  State.Service = service_name("a");
+  State.Version = version_name("v2");
+  State.Phase = Phase;
+  State.Reason = "errors on route r";
+  State.FinishBy = Bench.Driver.wallNow() + TimeLeft;
+  Bench.Objects.set(platform::rolloutKey(State.Service), wire::encode(State));
+}
+
+TEST_GROUP(wait_command) { command_bench Bench; };
+
+// Guards against a script that goes on before every zone holds the version.
+TEST(wait_command, EndsWhenEveryZoneHoldsTheVersion) {
+  Bench.apply("beaudoin");
+  setStatus(Bench, "z1", {{1, 3}});
+  setStatus(Bench, "z2", {{0, 1}, {1, 2}});
+  auto Late = Bench.run({"wait", "version", "--timeout-s", "20"});
+  CHECK_EQUAL(TimedOut, Late.Code);
+  CHECK(Bench.says(Late, "in force on 5 of 6 nodes"));
+  Bench.Objects.OnNextWatch = [this] { setStatus(Bench, "z2", {{2, 3}}); };
+  auto Report = Bench.run({"wait", "version"});
+  CHECK_EQUAL(Success, Report.Code);
+  CHECK(Bench.says(Report, "in force everywhere, on 6 nodes"));
+}
+
+// Guards against a wait for a version that nodes have refused.
+TEST(wait_command, RefusalsEndTheWaitWithTheirReason) {
+  setStatus(Bench, "z1", {{1, 3}}, {{node_id("n1"), 2, "dangling route"}});
+  auto Report = Bench.run({"wait", "version", "2"});
+  CHECK_EQUAL(Refused, Report.Code);
+  CHECK(Bench.says(Report, "Node n1 refused version 2: dangling route"));
+}
+
+// Guards against a wait without end on a platform that is down, and against
+// one that gives up at a short outage.
+TEST(wait_command, OutagesAreWaitedOutUntilTheTimeout) {
+  setStatus(Bench, "z1", {{1, 1}});
+  Bench.Objects.Faults.assign(20, fault::Down);
+  CHECK_EQUAL(Success, Bench.run({"wait", "version", "1"}).Code);
+  Bench.Objects.Always = fault::Down;
+  auto Report = Bench.run({"wait", "version", "1", "--timeout-s", "30"});
+  CHECK_EQUAL(PlatformDown, Report.Code);
+}
+
+// Guards against a rollout that is waited for after it is decided.
+TEST(wait_command, RolloutsEndDoneTakenBackOrAtTheirTime) {
+  setRollout(Bench, rollout::rollout_phase::Growing, std::chrono::seconds(60));
+  Bench.Objects.OnNextWatch = [this] {
+    setRollout(Bench, rollout::rollout_phase::Done, std::chrono::seconds(50));
+  };
+  CHECK_EQUAL(Success, Bench.run({"wait", "rollout", "a"}).Code);
+  setRollout(Bench, rollout::rollout_phase::TakenBack,
+             std::chrono::seconds(60));
+  auto TakenBack = Bench.run({"wait", "rollout", "a"});
+  CHECK_EQUAL(Refused, TakenBack.Code);
+  CHECK(Bench.says(TakenBack, "taken back: errors on route r"));
+  setRollout(Bench, rollout::rollout_phase::Growing, std::chrono::seconds(60));
+  auto Expired = Bench.run({"wait", "rollout", "a"});
+  CHECK_EQUAL(Refused, Expired.Code);
+  CHECK(Bench.says(Expired, "counts as taken back"));
+}
+
+TEST_GROUP(gc_command) {
+  command_bench Bench;
+
+  std::size_t removed() {
+    return Bench.run({"gc"}).Facts["removed"].get<std::size_t>();
+  }
+};
+
+// Guards against removing what one of the last ten versions needs, and against
+// objects that stay for ever.
+TEST(gc_command, ObjectsOfNoKeptVersionGoAfterAnHour) {
+  Bench.Objects.set(platform::contentKey("00aa"), "left over");
+  Bench.apply("beaudoin");
+  Bench.apply("strunohost");
+  CHECK_EQUAL(0U, removed());
+  Bench.Driver.Clock.advance(std::chrono::minutes(61));
+  CHECK_EQUAL(1U, removed());
+  CHECK_EQUAL(Success, Bench.run({"apply", "--back-to", "1"}).Code);
+  CHECK_EQUAL(Success, Bench.run({"diff", "--back-to", "2"}).Code);
+}
+
+// Guards against a collector that removes a part while an operator who goes
+// back to it has just found it in place.
+TEST(gc_command, ObjectsInUseAgainAreKept) {
+  Bench.apply("beaudoin");
+  std::vector<platform::object> Parts;
+  for (const auto &[Key, Object] : Bench.Objects.Objects)
+    if (Key.starts_with(platform::ContentPrefix))
+      Parts.push_back(Object);
+  Bench.Objects.Objects.erase(platform::ConfigHeadKey);
+  removed();
+  Bench.Driver.Clock.advance(std::chrono::minutes(61));
+  // The collector has decided already when the operator applies.
+  bool Applied = false;
+  Bench.Objects.BeforeNextRemove = [&] {
+    Applied = Bench.apply("beaudoin").Code == Success;
+  };
+  CHECK_EQUAL(0U, removed());
+  CHECK(Applied);
+  for (const platform::object &Part : Parts)
+    CHECK(Bench.Objects.revisionOf(Part.Key) != 0);
+}
+
+TEST_GROUP(status_command) { command_bench Bench; };
+
+// Guards against a statement that hides a lagging zone or a refusal.
+TEST(status_command, NamesLaggingZonesRefusalsAndRollouts) {
+  CHECK(Bench.says(Bench.run({"status"}), "No version was accepted yet."));
+  Bench.apply("beaudoin");
+  setStatus(Bench, "z1", {{0, 1}, {1, 2}}, {{node_id("n1"), 1, "bad hash"}});
+  setRollout(Bench, rollout::rollout_phase::Growing, std::chrono::seconds(60));
+  Bench.Objects.set("status/z9", "{");
+  auto Report = Bench.run({"status", "--json"});
+  CHECK(Bench.says(Report, "by marie: because of beaudoin."));
+  CHECK(Bench.says(Report, "It is not yet in force everywhere."));
+  CHECK(Bench.says(Report, "version 1 is in force on 2 of 3 nodes"));
+  CHECK(Bench.says(Report, "Node n1 refused version 1: bad hash."));
+  CHECK(Bench.says(Report, "it will be decided by"));
+  CHECK(Bench.says(Report, "status/z9 on the platform cannot be read"));
+  CHECK_FALSE(Report.Facts["everywhere"].get<bool>());
+}
+
+// Guards against a history without end or in another order.
+TEST(status_command, HistoryListsTheLastTenNewestLast) {
+  for (int Round = 0; Round < 6; ++Round) {
+    Bench.apply("beaudoin");
+    Bench.apply("strunohost");
+  }
+  auto Versions = Bench.run({"history"}).Facts["versions"];
+  CHECK_EQUAL(10U, Versions.size());
+  CHECK_EQUAL(3, Versions.front()["version"].get<int>());
+  CHECK_EQUAL(12, Versions.back()["version"].get<int>());
+}
+
+TEST_GROUP(usage) {
+  command_bench Bench;
+
+  static bool parses(std::vector<std::string> Words) {
+    Words.insert(Words.begin(), "gentianlug");
+    std::vector<char *> Argv(Words.size());
+    for (std::size_t Index = 0; Index < Words.size(); ++Index)
+      Argv[Index] = Words[Index].data();
+    return bool(parseOptions(int(Argv.size()), Argv.data()));
+  }
+};
+
+// Guards against arguments that crash the command or are stored unreadably.
+TEST(usage, WrongArgumentsAreToldApart) {
+  CHECK_FALSE(parses({"apply", "--reason", "\xff"}));
+  CHECK_FALSE(parses({"apply", "--author", std::string(101, 'a')}));
+  CHECK_FALSE(parses({"apply", "--overlay", "file"}));
+  CHECK_FALSE(parses({"apply", "--back-to", "-1"}));
+  CHECK_FALSE(parses({"wait", "--timeout-s", "99999999999999999999"}));
+  CHECK_FALSE(parses({"status", "--platfrom", "x"}));
+  CHECK_FALSE(parses({"status", "--platform", "x"}));
+  CHECK(parses({"zone", "out", "z", "--reason", "povode\xc5\x88"}));
+  for (std::vector<std::string> Words :
+       std::vector<std::vector<std::string>>{{},
+                                             {"aply"},
+                                             {"apply"},
+                                             {"zone"},
+                                             {"wait", "version", "x"},
+                                             {"rollout", "pause"},
+                                             {"explain"}})
+    CHECK_EQUAL(BadUsage, Bench.run(Words).Code);
+}
--- a/libs/platform/include/gentianlug/platform/acceptance.h
+++ b/libs/platform/include/gentianlug/platform/acceptance.h
@@ -35,7 +35,8 @@
                      const acceptance_proposal &Proposal);
 
 /// Returns the accepted versions that \p Head knows, newest first; none when
-/// its version is 0.
+/// it was never written. A head that stands in for a malformed one has a
+/// version, but no write id.
 std::vector<accepted_version> knownVersions(const config_head &Head);
 
 /// Returns the version \p Version if \p Head still knows it.
--- a/libs/platform/src/acceptance.cpp
+++ b/libs/platform/src/acceptance.cpp
@@ -8,7 +8,7 @@
 }
 
 std::vector<accepted_version> knownVersions(const config_head &Head) {
-  if (Head.Version == 0)
+  if (Head.WriteId.empty())
     return {};
   std::vector<accepted_version> Versions{withoutEarlier(Head)};
   Versions.insert(Versions.end(), Head.Earlier.begin(), Head.Earlier.end());
