Guard the backend server at its node

The serving node passed every call straight to its server, lost the answer of an order whose caller had gone, and could not be asked about a call.

Calls now go through admission control and the call ledger. The connection to the server is paced and reused; large answers stream with back-pressure; an order that has started goes on without its caller. GET /v1/call/ID tells the state of a call, and an unknown id is refused from then on. Draining, a new incarnation, a cut version, a zone that is out and three seconds without an announcement stop new calls at once; announcements now reach the proxy task directly for this.

--- a/libs/admission/include/gentianlug/admission/call_ledger.h
+++ b/libs/admission/include/gentianlug/admission/call_ledger.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <deque>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -61,7 +62,10 @@
   state begin(const call_id &Id, std::uint32_t Attempt, steady_time Now);
 
   /// Records the answer of a running call.
-  void finish(const call_id &Id, recorded_answer Answer, steady_time Now);
+  ///
+  /// \param Answer nothing when the answer was too large to be collected.
+  void finish(const call_id &Id, std::optional<recorded_answer> Answer,
+              steady_time Now);
 
   /// A running call ended although no byte of it reached the server.
   void abandon(const call_id &Id, steady_time Now);
@@ -71,6 +75,9 @@
   /// \param Attempt the last attempt that has been sent.
   state ask(const call_id &Id, std::uint32_t Attempt, steady_time Now);
 
+  /// Returns whether this attempt of the call has been refused for good.
+  bool refuses(const call_id &Id, std::uint32_t Attempt, steady_time Now);
+
   /// Returns the answer of a call in state `Answered`, or null.
   const recorded_answer *answer(const call_id &Id) const;
 
--- a/libs/admission/src/call_ledger.cpp
+++ b/libs/admission/src/call_ledger.cpp
@@ -57,16 +57,17 @@
   return state::Started;
 }
 
-void call_ledger::finish(const call_id &Id, recorded_answer Answer,
+void call_ledger::finish(const call_id &Id,
+                         std::optional<recorded_answer> Answer,
                          steady_time Now) {
   auto Entry = Entries.find(Id);
   if (Entry == Entries.end() || Entry->second.State != state::Running)
     return;
-  std::size_t Size = sizeOf(Answer);
-  bool Kept = Size <= Bounds.MaxAnswerBytes;
+  std::size_t Size = Answer ? sizeOf(*Answer) : 0;
+  bool Kept = Answer && Size <= Bounds.MaxAnswerBytes;
   resize(Entry->second, EntryBytes + Id.str().size() + (Kept ? Size : 0));
   if (Kept)
-    Entry->second.Answer = std::move(Answer);
+    Entry->second.Answer = std::move(*Answer);
   keep(Id, Entry->second, Kept ? state::Answered : state::AnswerDropped, Now);
 }
 
@@ -100,6 +101,13 @@
   return state::Refused;
 }
 
+bool call_ledger::refuses(const call_id &Id, std::uint32_t Attempt,
+                          steady_time Now) {
+  expire(Now);
+  auto Entry = Entries.find(Id);
+  return Entry != Entries.end() && Attempt <= Entry->second.RefusedUpTo;
+}
+
 const recorded_answer *call_ledger::answer(const call_id &Id) const {
   auto Entry = Entries.find(Id);
   bool Answered =
--- a/libs/admission/tests/call_ledger_test.cpp
+++ b/libs/admission/tests/call_ledger_test.cpp
@@ -18,7 +18,7 @@
     return Ledger.ask(Call, Attempt, Clock.steadyNow());
   }
   void finish(const call_id &Call, const std::string &Body) {
-    Ledger.finish(Call, {200, {}, Body}, Clock.steadyNow());
+    Ledger.finish(Call, recorded_answer{200, {}, Body}, Clock.steadyNow());
   }
 };
 
@@ -37,6 +37,7 @@
   CHECK(ask(Id) == state::Refused);
   CHECK(begin(Id) == state::Refused);
   CHECK(begin(Id, 9) == state::Refused);
+  CHECK(Ledger.refuses(Id, 9, Clock.steadyNow()));
 }
 
 // Guards against a further attempt that is refused although its entry node
--- a/libs/admission/tests/ledger_schedule_test.cpp
+++ b/libs/admission/tests/ledger_schedule_test.cpp
@@ -93,7 +93,8 @@
 
   void finishOne() {
     std::size_t Index = drawIndex(Gen, Running.size());
-    Ledger.finish(Running[Index], {200, {}, "ok"}, Clock.steadyNow());
+    Ledger.finish(Running[Index], recorded_answer{200, {}, "ok"},
+                  Clock.steadyNow());
     Running.erase(Running.begin() + std::ptrdiff_t(Index));
   }
 
--- a/libs/net/include/gentianlug/net/http_client.h
+++ b/libs/net/include/gentianlug/net/http_client.h
@@ -89,6 +89,9 @@
   /// Gives up a request and closes its connection; no callback runs.
   void cancel(request_id Id);
 
+  /// Returns whether the next request to \p Peer reuses an open connection.
+  bool reusesConnection(const address &Peer) const;
+
   /// Closes the idle connections to \p Peer, after one of them went silent.
   void closeIdle(const address &Peer);
 
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -387,6 +387,12 @@
     Impl->abandon(Call);
 }
 
+bool http_client::reusesConnection(const address &Peer) const {
+  auto Entry = Impl->Idle.find(Peer);
+  return Entry != Impl->Idle.end() &&
+         socketOf(Entry->second.back().Connection.get()) >= 0;
+}
+
 void http_client::closeIdle(const address &Peer) {
   auto Entry = Impl->Idle.find(Peer);
   if (Entry == Impl->Idle.end())
--- a/libs/node/include/gentianlug/node/call_headers.h
+++ b/libs/node/include/gentianlug/node/call_headers.h
@@ -18,6 +18,20 @@
 inline constexpr const char *LoadHeader = "gl-load";
 inline constexpr const char *NoRetryHeader = "gl-no-retry";
 
+// Header field of the reply to `GET /v1/call/ID`, with status 200. The reply in
+// state answered has the headers and the body of the recorded answer. In state
+// unknown-id the serving node has marked the id as refused.
+inline constexpr const char *CallStateHeader = "gl-call-state";
+inline constexpr const char *CallStateRunning = "running";
+inline constexpr const char *CallStateAnswered = "answered";
+inline constexpr const char *CallStateUnknownId = "unknown-id";
+/// Status of the recorded answer, beside the state answered.
+inline constexpr const char *CallStatusHeader = "gl-call-status";
+/// Path of the question about a call; the call id follows.
+inline constexpr const char *CallStatePath = "/v1/call/";
+/// Path that checks whether a connection of the peer listener is alive.
+inline constexpr const char *PingPath = "/v1/ping";
+
 // Values of the outcome field.
 inline constexpr const char *OutcomeAnswered = "answered";
 inline constexpr const char *OutcomeNotRun = "not-run";
--- a/libs/node/include/gentianlug/node/proxy_task.h
+++ b/libs/node/include/gentianlug/node/proxy_task.h
@@ -29,6 +29,7 @@
   result<void> listen();
 
   net::mailbox<std::shared_ptr<const routing_snapshot>> &snapshots();
+  net::mailbox<server_announced> &announcements();
   net::mailbox<version_cut> &cuts();
   net::mailbox<stop_request> &stops();
 
--- /dev/null
+++ b/libs/node/src/answer_relay.h
@@ -0,0 +1,45 @@
+#ifndef GENTIANLUG_NODE_ANSWER_RELAY_H
+#define GENTIANLUG_NODE_ANSWER_RELAY_H
+
+#include "gentianlug/net/http_server.h"
+
+#include <optional>
+
+namespace gentianlug::node {
+
+/// Answers up to this size are collected and passed on in one piece; the
+/// ledger keeps none that is larger.
+inline constexpr std::size_t MaxCollectedBytes = 64 << 10;
+/// Bytes of one answer that may wait in memory for a slow reader before the
+/// server is no longer read. With the collected part and the buffers of the
+/// connection an answer stays below 256 KB.
+inline constexpr std::size_t MaxWaitingBytes = 96 << 10;
+
+/// Collects a small answer, or streams a large one.
+class answer_relay {
+public:
+  /// Starts a new answer.
+  void onHead(net::http_response Head) { Answer = std::move(Head); }
+
+  /// Adds one part of the body.
+  ///
+  /// \param Reader gets the answer once it is too large to be collected.
+  /// \returns whether the server must not be read for now.
+  bool onPart(std::string_view Part, const net::http_exchange &Reader);
+
+  /// Returns whether the answer has been started as a stream.
+  bool streaming() const { return Streaming; }
+  bool hasHead() const { return Answer.has_value(); }
+
+  /// The answer so far; its body is empty once it streams. Precondition:
+  /// `hasHead`.
+  net::http_response &answer() { return *Answer; }
+
+private:
+  std::optional<net::http_response> Answer;
+  bool Streaming = false;
+};
+
+} // namespace gentianlug::node
+
+#endif // GENTIANLUG_NODE_ANSWER_RELAY_H
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -24,6 +24,7 @@
 
   explicit node_tasks(const settings::node_settings &Settings)
       : Admin(Settings, {[this](server_announced Message) {
+                Proxy.announcements().post(Message);
                 Control.announcements().post(std::move(Message));
               }}),
         Proxy(Settings, {[this](task_report Report) {
--- a/libs/node/src/proxy_task.cpp
+++ b/libs/node/src/proxy_task.cpp
@@ -20,6 +20,7 @@
   net::http_server Peers;
   net::timer ReportTimer;
   net::mailbox<std::shared_ptr<const routing_snapshot>> Snapshots;
+  net::mailbox<server_announced> Announcements;
   net::mailbox<version_cut> Cuts;
   net::mailbox<stop_request> Stops;
   bool Stopping = false;
@@ -38,6 +39,10 @@
                     Serving.onSnapshot(Next);
                     Entry.onSnapshot(Next);
                   }),
+        Announcements(Loop,
+                      [this](const server_announced &Message) {
+                        Serving.onAnnouncement(Message.Announcement);
+                      }),
         Cuts(Loop,
              [this](const version_cut &Cut) { Serving.onVersionCut(Cut); }),
         Stops(Loop, [this](stop_request) { stop(); }) {}
@@ -85,6 +90,10 @@
   return Impl->Snapshots;
 }
 
+net::mailbox<server_announced> &proxy_task::announcements() {
+  return Impl->Announcements;
+}
+
 net::mailbox<version_cut> &proxy_task::cuts() { return Impl->Cuts; }
 
 net::mailbox<stop_request> &proxy_task::stops() { return Impl->Stops; }
--- a/libs/node/src/serving_proxy.h
+++ b/libs/node/src/serving_proxy.h
@@ -36,6 +36,11 @@
   ~serving_proxy();
 
   void onSnapshot(std::shared_ptr<const routing_snapshot> Snapshot);
+
+  /// Takes each announcement of the server, also repeated ones, which show
+  /// that it lives.
+  void onAnnouncement(const wire::server_announcement &Announcement);
+
   void onVersionCut(const version_cut &Cut);
 
   /// Handles one request of the peer listener: a call, or a question about
--- /dev/null
+++ b/libs/node/tests/local_server_test.cpp
@@ -0,0 +1,69 @@
+#include "local_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::node;
+
+TEST_GROUP(local_server) {
+  local_server Local{node_id("n1")};
+  wire::server_announcement Announcement;
+
+  void setup() override {
+    Announcement.Service = service_name("orders");
+    Announcement.Version = version_name("v2");
+  }
+
+  void announce() { Local.onAnnouncement(Announcement); }
+};
+
+// Guards against calls to a server that does not run or is leaving.
+TEST(local_server, OnlyAnAnnouncedServerThatStaysGetsCalls) {
+  CHECK(Local.refusal().has_value());
+  announce();
+  CHECK_FALSE(Local.refusal().has_value());
+  Announcement.Draining = true;
+  announce();
+  CHECK(Local.refusal().has_value());
+  Announcement.Draining = false;
+  announce();
+  CHECK_FALSE(Local.refusal().has_value());
+}
+
+// Guards against calls to a server that has stopped announcing itself.
+TEST(local_server, ASilentServerGetsNoCallsUntilItAnnouncesAgain) {
+  announce();
+  Local.onSilence();
+  CHECK(Local.refusal().has_value());
+  CHECK(Local.server() == nullptr);
+  announce();
+  CHECK_FALSE(Local.refusal().has_value());
+}
+
+// Guards against calls to a version after its fault has shown.
+TEST(local_server, ACutVersionGetsNoCallsUntilItIsFreed) {
+  announce();
+  Local.onVersionCut({version_name("v1"), "other", true});
+  CHECK_FALSE(Local.refusal().has_value());
+  Local.onVersionCut({version_name("v2"), "r", true});
+  CHECK(Local.refusal().has_value());
+  Local.onVersionCut({version_name("v2"), "r", false});
+  CHECK_FALSE(Local.refusal().has_value());
+}
+
+// Guards against work in a zone that operators have taken out.
+TEST(local_server, AServerInAZoneThatIsOutGetsNoCalls) {
+  membership::member_record Member;
+  Member.Node = node_id("n1");
+  Member.Zone = zone_name("z1");
+  routing_snapshot Snapshot;
+  Snapshot.Members =
+      std::make_shared<const std::vector<membership::member_record>>(1, Member);
+  Snapshot.ZonesOut[zone_name("z1")];
+  announce();
+  Local.onSnapshot(std::make_shared<const routing_snapshot>(Snapshot));
+  CHECK(Local.refusal().has_value());
+  Snapshot.ZonesOut.clear();
+  Local.onSnapshot(std::make_shared<const routing_snapshot>(Snapshot));
+  CHECK_FALSE(Local.refusal().has_value());
+}
--- /dev/null
+++ b/scenarios/order_repeated_after_lost_answer.lua
@@ -0,0 +1,49 @@
+-- An order whose answer was lost on the way is not run again: a repetition
+-- gets the recorded answer, and a question about it is answered.
+local mesh = require("mesh")
+local site = mesh.new("qc-east")
+local node = site:add_node("commandes-1", "qc-east-1")
+local server = site:add_server(node, "commandes", { work_ms = 400 })
+
+local function order(id, limit_ms)
+  return http("POST", node.peer, "/commandes", "one glue pot", {
+    ["gl-call-id"] = id, ["gl-idempotent"] = "0", ["gl-deadline-ms"] = "3000",
+    ["order-id"] = id }, limit_ms)
+end
+
+local function ask(id)
+  local status, body, headers = http("GET", node.peer, "/v1/call/" .. id)
+  assert(status == 200, body)
+  return headers["gl-call-state"], body, headers
+end
+
+mesh.wait_until("the server takes orders", 30000, function()
+  return order("warm-" .. draw(1, 1000000000), 5000) == 200
+end)
+
+-- The caller gives up before the answer; the order goes on.
+assert(order("lost", 100) == 0)
+assert(ask("lost") == "running")
+mesh.wait_until("the answer is recorded", 10000, function()
+  return ask("lost") == "answered"
+end)
+local _, body, headers = ask("lost")
+assert(body == "answer to one glue pot", body)
+assert(headers["gl-call-status"] == "200")
+assert(headers["gl-outcome"] == "answered")
+
+local status
+status, body, headers = order("lost", 5000)
+assert(status == 200 and body == "answer to one glue pot")
+assert(headers["gl-call-id"] == "lost")
+
+-- An id that is called unknown is refused from then on.
+assert(ask("late") == "unknown-id")
+status, body, headers = order("late", 5000)
+assert(status == 503 and headers["gl-outcome"] == "not-run", body)
+
+_, body = http("GET", server.address, "/standin/ran")
+local ran = json_decode(body)
+assert(ran.lost == 1, body)
+assert(ran.late == nil, body)
+site:stop()
