--- a/libs/node/src/entry_call.cpp
+++ b/libs/node/src/entry_call.cpp
@@ -352,9 +352,9 @@
     return settle();
   }
   const std::string *CallState = Reply->Headers.find(CallStateHeader);
-  std::string_view Answer = CallState ? *CallState : "";
-  logEvent(event::CallQuestioned, Try->Id.str() + " at " + Try->Node.str() +
-                                      ": " + std::string(Answer));
+  std::string Answer = CallState ? *CallState : "no state";
+  logEvent(event::CallQuestioned,
+           Try->Id.str() + " at " + Try->Node.str() + ": " + Answer);
   if (Answer == CallStateRunning)
     return askAgain(Try, StillUnderWay ? SilenceTime : QuestionPause);
   cancelTries(call_verdict::Failed, nullptr);
