Take part in rollouts in a task of its own

The rollout of a service is steered by one of the nodes beside its servers. rollout_session joins lease and controller over the object store; rollout_participation adds candidacy, local guard and notices; rollout_task owns the sockets and mailboxes. Not wired yet.

--- /dev/null
+++ b/libs/node/include/gentianlug/node/rollout_task.h
@@ -0,0 +1,46 @@
+#ifndef GENTIANLUG_NODE_ROLLOUT_TASK_H
+#define GENTIANLUG_NODE_ROLLOUT_TASK_H
+
+#include "gentianlug/net/mailbox.h"
+#include "gentianlug/net/task.h"
+#include "gentianlug/node/messages.h"
+#include "gentianlug/rollout/steering_notice.h"
+#include "gentianlug/settings/node_settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace gentianlug::node {
+
+/// Takes part in the rollout of the local server's service: sends evidence to
+/// its controller, cuts the local server off, and steers the rollout when this
+/// node holds its lease.
+class rollout_task final : public net::task {
+public:
+  /// Where the task sends its messages.
+  struct outputs {
+    std::function<void(version_cut)> Cut;
+    std::function<void(task_report)> Report;
+  };
+
+  rollout_task(settings::node_settings Settings, outputs Outputs);
+  ~rollout_task() override;
+
+  net::mailbox<std::shared_ptr<const routing_snapshot>> &snapshots();
+  /// Evidence of the local server.
+  net::mailbox<evidence_ready> &localEvidence();
+  /// Evidence and notices of other nodes.
+  net::mailbox<rollout::server_evidence> &remoteEvidence();
+  net::mailbox<rollout::steering_notice> &notices();
+  net::mailbox<stop_request> &stops();
+
+private:
+  void onStart() override;
+
+  struct impl;
+  std::unique_ptr<impl> Impl;
+};
+
+} // namespace gentianlug::node
+
+#endif // GENTIANLUG_NODE_ROLLOUT_TASK_H
--- /dev/null
+++ b/libs/node/src/rollout_participation.cpp
@@ -0,0 +1,128 @@
+#include "rollout_participation.h"
+
+#include "gentianlug/observe/log.h"
+
+namespace gentianlug::node {
+
+using observe::event;
+using observe::logEvent;
+using rollout::rollout_phase;
+
+/// Returns a first sequence number above those of earlier lives of the node,
+/// which sent at most four reports a second.
+static std::uint64_t firstSequence(wall_time Now) {
+  return std::uint64_t(std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Now.time_since_epoch())
+                           .count());
+}
+
+rollout_participation::rollout_participation(
+    rollout_session::context Context, rollout::controller_task Task,
+    const wire::server_announcement &Server,
+    std::unique_ptr<rollout::verdict_policy> Verdict, outputs Outputs)
+    : Context(Context), Task(Task), Server(Server), Outputs(std::move(Outputs)),
+      Session(Context, std::move(Task), std::move(Verdict)),
+      Sequence(firstSequence(Context.Clock.wallNow())) {
+  Candidacy.start(Context.Clock.steadyNow(), Context.Gen);
+  Guard.start(0);
+}
+
+rollout_participation::~rollout_participation() {
+  if (!CutReason.empty())
+    Outputs.Cut({Task.Rollout.Version, Task.Rollout.id(), false});
+}
+
+bool rollout_participation::matches(
+    const rollout::controller_task &Other,
+    const wire::server_announcement &OtherServer) const {
+  return Other.Rollout == Task.Rollout && Other.OldVersion == Task.OldVersion &&
+         Other.Routes == Task.Routes && OtherServer.Version == Server.Version;
+}
+
+void rollout_participation::onConfiguration(config_version Version) {
+  Session.onConfiguration(Version);
+}
+
+void rollout_participation::onDelivered(const rollout::rollout_state &State) {
+  if (State.Id != Task.Rollout.id())
+    return;
+  Delivered = State;
+  Guard.setOldErrorRate(State.OldErrorRate);
+  Session.onDelivered(State);
+}
+
+void rollout_participation::onNotice(const rollout::steering_notice &Notice) {
+  if (Notice.RolloutId != Task.Rollout.id() ||
+      !Candidacy.onNotice(Context.Clock.steadyNow(), Notice, Context.Gen))
+    return;
+  Controller = Notice.Controller;
+  if (!Notice.CutReason.empty())
+    cut(Notice.CutReason);
+}
+
+void rollout_participation::onRemoteEvidence(
+    const rollout::server_evidence &Evidence) {
+  Session.onEvidence(Evidence);
+}
+
+std::optional<address>
+rollout_participation::onLocalEvidence(rollout::server_evidence &Evidence) {
+  if (Evidence.Service != Task.Rollout.Service || isDecided())
+    return std::nullopt;
+  Evidence.Node = Context.Node;
+  Evidence.Sequence = ++Sequence;
+  if (Evidence.Version == Task.Rollout.Version && Guard.add(Evidence))
+    cut(std::to_string(Guard.runLength()) + " errors in a row");
+  Evidence.Cut = Evidence.Version == Task.Rollout.Version && !CutReason.empty();
+  if (steers()) {
+    Session.onEvidence(Evidence);
+    return std::nullopt;
+  }
+  if (Controller.Port == 0 || Controller == Task.Control)
+    return std::nullopt;
+  return Controller;
+}
+
+void rollout_participation::cut(const std::string &Reason) {
+  if (!CutReason.empty() || Server.Version != Task.Rollout.Version)
+    return;
+  CutReason = Reason;
+  logEvent(event::VersionCut, Task.Rollout.id() + ": " + Reason);
+  Outputs.Cut({Task.Rollout.Version, Task.Rollout.id(), true});
+}
+
+std::optional<rollout::steering_notice> rollout_participation::tick() {
+  steady_time Now = Context.Clock.steadyNow();
+  Session.tick(!isDecided() && Candidacy.contends(Now));
+  if (!steers())
+    return std::nullopt;
+  rollout::steering_notice Notice = Session.notice();
+  if (!Notice.CutReason.empty())
+    cut(Notice.CutReason);
+  // A cut is told at once, then with each notice.
+  if (Now < NextNotice && Notice.CutReason == NotedCut)
+    return std::nullopt;
+  NextNotice = Now + rollout::NoticePeriod;
+  NotedCut = Notice.CutReason;
+  return Notice;
+}
+
+bool rollout_participation::release() {
+  Session.release();
+  return Session.busy();
+}
+
+const rollout::rollout_state *rollout_participation::state() const {
+  if (steers() && Session.state())
+    return Session.state();
+  return Delivered ? &*Delivered : nullptr;
+}
+
+bool rollout_participation::isDecided() const {
+  const rollout::rollout_state *State = state();
+  return State && State->Id == Task.Rollout.id() &&
+         (State->Phase == rollout_phase::Done ||
+          State->Phase == rollout_phase::TakenBack);
+}
+
+} // namespace gentianlug::node
--- /dev/null
+++ b/libs/node/src/rollout_participation.h
@@ -0,0 +1,85 @@
+#ifndef GENTIANLUG_NODE_ROLLOUT_PARTICIPATION_H
+#define GENTIANLUG_NODE_ROLLOUT_PARTICIPATION_H
+
+#include "gentianlug/node/messages.h"
+#include "gentianlug/rollout/candidacy.h"
+#include "gentianlug/rollout/local_guard.h"
+#include "rollout_session.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace gentianlug::node {
+
+/// One node's part in one rollout of the service of its local server: watches
+/// the local server, contends for the lease when no controller is heard, and
+/// answers where evidence goes. It has no sockets of its own.
+class rollout_participation {
+public:
+  struct outputs {
+    std::function<void(version_cut)> Cut;
+  };
+
+  /// \param Server the local server, of the service that moves.
+  rollout_participation(rollout_session::context Context,
+                        rollout::controller_task Task,
+                        const wire::server_announcement &Server,
+                        std::unique_ptr<rollout::verdict_policy> Verdict,
+                        outputs Outputs);
+  /// Lifts a cut of the local server.
+  ~rollout_participation();
+
+  /// Returns whether this is still the part that the node has to play.
+  bool matches(const rollout::controller_task &Task,
+               const wire::server_announcement &Server) const;
+
+  void onConfiguration(config_version Version);
+  void onDelivered(const rollout::rollout_state &State);
+  void onNotice(const rollout::steering_notice &Notice);
+  void onRemoteEvidence(const rollout::server_evidence &Evidence);
+
+  /// Completes evidence of the local server and keeps it when this node
+  /// steers.
+  ///
+  /// \returns the controller to send it to, or nothing.
+  std::optional<address> onLocalEvidence(rollout::server_evidence &Evidence);
+
+  /// Call it once each `JudgementPeriod`.
+  ///
+  /// \returns a notice when one is due.
+  std::optional<rollout::steering_notice> tick();
+
+  /// Gives the lease up. Returns whether `tick` must go on until it is given.
+  bool release();
+
+  /// Returns the newest state known to this node, or null.
+  const rollout::rollout_state *state() const;
+  bool steers() const { return Session.steers(); }
+  const std::string &cutReason() const { return CutReason; }
+  const rollout::controller_task &task() const { return Task; }
+
+private:
+  bool isDecided() const;
+  void cut(const std::string &Reason);
+
+  rollout_session::context Context;
+  rollout::controller_task Task;
+  wire::server_announcement Server;
+  outputs Outputs;
+  rollout_session Session;
+  rollout::candidacy Candidacy;
+  rollout::local_guard Guard;
+  std::optional<rollout::rollout_state> Delivered;
+  /// Controller by the newest notice.
+  address Controller;
+  std::uint64_t Sequence;
+  std::string CutReason;
+  /// Why and when the last notice was sent.
+  std::string NotedCut;
+  steady_time NextNotice{};
+};
+
+} // namespace gentianlug::node
+
+#endif // GENTIANLUG_NODE_ROLLOUT_PARTICIPATION_H
--- /dev/null
+++ b/libs/node/src/rollout_session.cpp
@@ -0,0 +1,205 @@
+#include "rollout_session.h"
+
+#include "gentianlug/observe/log.h"
+#include "gentianlug/platform/keys.h"
+#include "gentianlug/platform/lease.h"
+#include "gentianlug/platform/platform_errc.h"
+#include "gentianlug/wire/lease_values.h"
+#include "gentianlug/wire/rollout_values.h"
+
+namespace gentianlug::node {
+
+using observe::event;
+using observe::logEvent;
+using platform::lease_operation;
+using platform::platform_errc;
+using rollout::controller_operation;
+
+static bool isError(const error &Failure, platform_errc Code) {
+  return Failure.Code == make_error_code(Code);
+}
+
+struct rollout_session::impl : std::enable_shared_from_this<impl> {
+  context Context;
+  rollout::controller_task Task;
+  platform::lease_contender Lease;
+  rollout::rollout_controller Controller;
+  std::string LeaseKey;
+  std::string StateKey;
+  int CallsUnderWay = 0;
+
+  impl(context C, rollout::controller_task T,
+       std::unique_ptr<rollout::verdict_policy> Verdict)
+      : Context(std::move(C)), Task(std::move(T)),
+        Lease(Context.Node, Task.Control), Controller(Task, std::move(Verdict)),
+        LeaseKey(platform::rolloutLeaseKey(Task.Rollout.Service)),
+        StateKey(platform::rolloutKey(Task.Rollout.Service)) {}
+
+  rollout::moment now() const {
+    return {Context.Clock.steadyNow(), Context.Clock.wallNow()};
+  }
+
+  /// Wraps the handler of an answer; an answer after the end of the session is
+  /// dropped.
+  template <class T, class Handler>
+  platform::object_store::callback<T> whenAnswered(Handler Handle) {
+    ++CallsUnderWay;
+    return [Weak = weak_from_this(), Handle](result<T> Answer) {
+      auto Self = Weak.lock();
+      if (!Self)
+        return;
+      --Self->CallsUnderWay;
+      Handle(*Self, std::move(Answer));
+    };
+  }
+
+  void driveLease() {
+    auto Action = Lease.next(now().Steady, Context.Gen);
+    if (Action.Operation == lease_operation::Read)
+      return Context.Store.get(
+          LeaseKey, whenAnswered<platform::object>(
+                        [](impl &Self, result<platform::object> Answer) {
+                          Self.onLeaseRead(std::move(Answer));
+                        }));
+    if (Action.Operation == lease_operation::Write)
+      Context.Store.put(LeaseKey, wire::encode(Action.Value), Action.Expected,
+                        whenAnswered<object_revision>(
+                            [](impl &Self, result<object_revision> Answer) {
+                              Self.onLeaseWritten(std::move(Answer));
+                            }));
+  }
+
+  void onLeaseRead(result<platform::object> Answer) {
+    if (!Answer && isError(Answer.failure(), platform_errc::NotFound))
+      Lease.onRead(now().Steady, std::nullopt);
+    else if (!Answer)
+      return Lease.onNoAnswer(now().Steady);
+    else if (auto Value = wire::decodeLeaseValue(Answer->Value))
+      Lease.onRead(now().Steady,
+                   platform::observed_lease{*Value, Answer->Revision});
+    else
+      return Lease.onNoAnswer(now().Steady);
+    driveLease();
+  }
+
+  void onLeaseWritten(result<object_revision> Answer) {
+    if (!Answer && isError(Answer.failure(), platform_errc::Conflict))
+      return Lease.onConflict(now().Steady);
+    if (!Answer)
+      return Lease.onNoAnswer(now().Steady);
+    bool Held = Lease.isLastKnownHolder();
+    Lease.onWritten(now().Steady, *Answer);
+    if (!Held && Lease.isLastKnownHolder())
+      logEvent(event::RolloutController,
+               Task.Rollout.id() + " epoch " + std::to_string(Lease.epoch()));
+    driveController();
+  }
+
+  void driveController() {
+    Controller.onLease(Lease.holds(now().Steady), Lease.epoch());
+    auto Action = Controller.next(now(), Context.Gen);
+    if (Action.Operation == controller_operation::Read)
+      return Context.Store.get(
+          StateKey, whenAnswered<platform::object>(
+                        [](impl &Self, result<platform::object> Answer) {
+                          Self.onStateRead(std::move(Answer));
+                        }));
+    if (Action.Operation == controller_operation::Write)
+      Context.Store.put(StateKey, wire::encode(Action.State), Action.Expected,
+                        whenAnswered<object_revision>(
+                            [](impl &Self, result<object_revision> Answer) {
+                              Self.onStateWritten(std::move(Answer));
+                            }));
+  }
+
+  void onStateRead(result<platform::object> Answer) {
+    if (!Answer && isError(Answer.failure(), platform_errc::NotFound))
+      Controller.onRead(now(), std::nullopt);
+    else if (!Answer)
+      return Controller.onNoAnswer(now());
+    else
+      Controller.onRead(now(), decodeState(*Answer));
+    driveController();
+  }
+
+  /// A state that cannot be read belongs to no rollout and is overwritten.
+  static rollout::observed_state decodeState(const platform::object &Object) {
+    auto State = wire::decodeRolloutState(Object.Value);
+    if (!State)
+      logEvent(event::BadRequest,
+               Object.Key + ": " + State.failure().message());
+    return {State ? *State : rollout::rollout_state{}, Object.Revision};
+  }
+
+  void onStateWritten(result<object_revision> Answer) {
+    if (!Answer && isError(Answer.failure(), platform_errc::Conflict))
+      Controller.onConflict(now());
+    else if (!Answer)
+      return Controller.onNoAnswer(now());
+    else {
+      Controller.onWritten(now(), *Answer);
+      logState(*Controller.state());
+    }
+    driveController();
+  }
+
+  static void logState(const rollout::rollout_state &State) {
+    if (State.Phase == rollout::rollout_phase::TakenBack)
+      return logEvent(event::RolloutTakenBack, State.Id + ": " + State.Reason);
+    logEvent(event::RolloutStep,
+             State.Id + " share " + std::to_string(State.Share));
+  }
+
+  void tick(bool Contends) {
+    Controller.judge(now());
+    if (Controller.decided())
+      Lease.release();
+    if (Contends || Lease.isLastKnownHolder())
+      driveLease();
+    driveController();
+  }
+};
+
+rollout_session::rollout_session(
+    context Context, rollout::controller_task Task,
+    std::unique_ptr<rollout::verdict_policy> Verdict)
+    : Impl(std::make_shared<impl>(std::move(Context), std::move(Task),
+                                  std::move(Verdict))) {}
+rollout_session::~rollout_session() = default;
+
+void rollout_session::tick(bool Contends) { Impl->tick(Contends); }
+
+void rollout_session::onEvidence(const rollout::server_evidence &Evidence) {
+  Impl->Controller.onEvidence(Impl->now().Steady, Evidence);
+}
+
+void rollout_session::onDelivered(const rollout::rollout_state &State) {
+  Impl->Controller.onDelivered(State);
+}
+
+void rollout_session::onConfiguration(config_version Version) {
+  Impl->Controller.onConfiguration(Version);
+}
+
+bool rollout_session::steers() const { return Impl->Lease.isLastKnownHolder(); }
+
+void rollout_session::release() { Impl->Lease.release(); }
+
+bool rollout_session::busy() const {
+  return Impl->CallsUnderWay > 0 || steers();
+}
+
+rollout::steering_notice rollout_session::notice() const {
+  return {Impl->Task.Rollout.id(),
+          Impl->Task.Rollout.Service,
+          Impl->Lease.epoch(),
+          Impl->Task.Control,
+          Impl->Lease.holds(Impl->now().Steady),
+          Impl->Controller.cutReason()};
+}
+
+const rollout::rollout_state *rollout_session::state() const {
+  return Impl->Controller.state();
+}
+
+} // namespace gentianlug::node
--- a/libs/rollout/include/gentianlug/rollout/candidacy.h
+++ b/libs/rollout/include/gentianlug/rollout/candidacy.h
@@ -8,11 +8,11 @@
 namespace gentianlug::rollout {
 
 /// A controller that sent no notice for this time is taken to be gone.
-inline constexpr std::chrono::milliseconds ControllerSilence{3000};
+inline constexpr std::chrono::milliseconds ControllerSilence{2000};
 
 /// Longest random delay before a candidate turns to the platform, so that not
 /// all nodes beside a service's servers read the lease at once.
-inline constexpr std::chrono::milliseconds LongestCandidateDelay{1500};
+inline constexpr std::chrono::milliseconds LongestCandidateDelay{1000};
 
 /// Decides when a node beside a server of a moving service contends for the
 /// lease of the rollout.
--- a/libs/rollout/include/gentianlug/rollout/local_guard.h
+++ b/libs/rollout/include/gentianlug/rollout/local_guard.h
@@ -29,6 +29,9 @@
   /// \param OldErrorRate error rate of the old version, from the state.
   void start(double OldErrorRate);
 
+  /// Changes the error rate of the old version; the runs go on.
+  void setOldErrorRate(double OldErrorRate);
+
   /// Adds the calls of one period.
   ///
   /// \returns whether the server shall be cut off.
--- a/libs/rollout/include/gentianlug/rollout/rollout_controller.h
+++ b/libs/rollout/include/gentianlug/rollout/rollout_controller.h
@@ -76,6 +76,9 @@
   /// Tells whether this node holds the lease, and under which epoch.
   void onLease(bool Held, std::uint64_t Epoch);
 
+  /// Tells that a newer configuration has the same rollout.
+  void onConfiguration(config_version Version);
+
   /// Adds evidence of one server. Repeated and late evidence is ignored.
   void onEvidence(steady_time Now, const server_evidence &Evidence);
 
--- a/libs/rollout/src/local_guard.cpp
+++ b/libs/rollout/src/local_guard.cpp
@@ -9,9 +9,13 @@
 static constexpr double LargestErrorRate = 0.9;
 
 void local_guard::start(double OldErrorRate) {
+  setOldErrorRate(OldErrorRate);
+  Runs.clear();
+}
+
+void local_guard::setOldErrorRate(double OldErrorRate) {
   double Rate = std::clamp(OldErrorRate, LeastErrorRate, LargestErrorRate);
   RunLength = std::uint32_t(std::ceil(std::log(FalseRunRate) / std::log(Rate)));
-  Runs.clear();
 }
 
 bool local_guard::add(const server_evidence &Evidence) {
--- a/libs/rollout/src/rollout_controller.cpp
+++ b/libs/rollout/src/rollout_controller.cpp
@@ -253,6 +253,10 @@
     Impl->Epoch = Epoch;
 }
 
+void rollout_controller::onConfiguration(config_version Version) {
+  Impl->Task.ConfigVersion = Version;
+}
+
 void rollout_controller::onEvidence(steady_time Now,
                                     const server_evidence &Evidence) {
   Impl->onEvidence(Now, Evidence);
--- a/libs/settings/include/gentianlug/settings/node_settings.h
+++ b/libs/settings/include/gentianlug/settings/node_settings.h
@@ -13,6 +13,10 @@
 /// Most seed peers that the settings may name.
 inline constexpr std::size_t MaxSeedPeers = 16;
 
+/// How the verdict on a new version is found. `Fixed` is the baseline of the
+/// experiments.
+enum class rollout_verdict : std::uint8_t { Sequential, Fixed };
+
 /// Settings of one node process; `docs/settings.md` documents each key.
 struct node_settings {
   node_id Node;
@@ -26,6 +30,7 @@
   address Platform;
   std::vector<address> SeedPeers;
   std::uint64_t Seed = 0;
+  rollout_verdict RolloutVerdict = rollout_verdict::Sequential;
 };
 
 /// Parses and checks the settings of a node.
--- a/libs/settings/src/node_settings.cpp
+++ b/libs/settings/src/node_settings.cpp
@@ -26,6 +26,14 @@
   return Peers;
 }
 
+static rollout_verdict readVerdict(object_reader &Reader) {
+  std::string Text = Reader.text("rollout_verdict", "sequential");
+  if (Text != "sequential" && Text != "fixed")
+    Reader.faults().add(Reader.pathOf("rollout_verdict"),
+                        "must be \"sequential\" or \"fixed\"");
+  return Text == "fixed" ? rollout_verdict::Fixed : rollout_verdict::Sequential;
+}
+
 result<node_settings> parseNodeSettings(std::string_view Text,
                                         const std::string &File) {
   auto Json = parseJson(Text, File);
@@ -45,6 +53,7 @@
   Settings.Platform = Reader.endpoint("platform");
   Settings.SeedPeers = readSeedPeers(Reader);
   Settings.Seed = std::uint64_t(Reader.number("seed", 0, INT64_MAX, 0));
+  Settings.RolloutVerdict = readVerdict(Reader);
   Reader.finish();
   if (!Faults.empty())
     return Faults.toError();
--- a/libs/wire/src/rollout_values.cpp
+++ b/libs/wire/src/rollout_values.cpp
@@ -135,6 +135,7 @@
   Notice.RolloutId = Reader.text("rollout");
   Notice.Service = service_name(Reader.text("service"));
   Notice.Epoch = detail::readUnsigned(Reader, "epoch");
+  Notice.Controller = Reader.endpoint("controller");
   Notice.Held = Reader.flag("held", false);
   Notice.CutReason = Reader.text("cut_reason", "");
   return Notice;
@@ -148,6 +149,7 @@
   return json{{"rollout", Notice.RolloutId},
               {"service", Notice.Service.str()},
               {"epoch", Notice.Epoch},
+              {"controller", Notice.Controller.str()},
               {"held", Notice.Held},
               {"cut_reason", Notice.CutReason}}
       .dump();
