--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -75,6 +75,7 @@
   http_client_limits Limits;
   system_clock Clock;
   request_id NextId = 1;
+  std::uint64_t Bytes = 0;
   std::unordered_map<request_id, std::shared_ptr<call>> Calls;
   std::map<address, std::vector<idle_connection>> Idle;
   timer IdleTimer;
@@ -89,6 +90,7 @@
     evhttp_connection *Fresh = evhttp_connection_base_bufferevent_new(
         Loop.base(), nullptr, nullptr, Peer.Host.c_str(), Peer.Port);
     evhttp_connection_set_timeout(Fresh, ConnectionTimeoutSeconds);
+    detail::countBytes(evhttp_connection_get_bufferevent(Fresh), Bytes);
     // A peer may refuse a body before it has read it all.
     evhttp_connection_set_flags(Fresh, EVHTTP_CON_READ_ON_WRITE_ERROR);
     bufferevent_setwatermark(evhttp_connection_get_bufferevent(Fresh), EV_READ,
@@ -396,4 +398,6 @@
   Impl->Idle.erase(Entry);
 }
 
+std::uint64_t http_client::bytes() const { return Impl->Bytes; }
+
 } // namespace gentianlug::net
