Run the rollout task in each node

Evidence of the local server now reaches the controller of its rollout, and steering notices (POST /v1/steering) reach the nodes beside the servers, so that a cut needs no platform.

--- a/libs/node/include/gentianlug/node/control_task.h
+++ b/libs/node/include/gentianlug/node/control_task.h
@@ -4,6 +4,7 @@
 #include "gentianlug/net/mailbox.h"
 #include "gentianlug/net/task.h"
 #include "gentianlug/node/messages.h"
+#include "gentianlug/rollout/steering_notice.h"
 #include "gentianlug/settings/node_settings.h"
 
 #include <functional>
@@ -21,6 +22,8 @@
     /// Evidence that other nodes sent for a rollout that this node controls.
     std::function<void(rollout::server_evidence)> Evidence;
     std::function<void(rollout_view)> Rollouts;
+    /// Notice of the controller of the local server's rollout.
+    std::function<void(rollout::steering_notice)> Steering;
   };
 
   control_task(settings::node_settings Settings, outputs Outputs);
--- a/libs/node/src/control_listener.cpp
+++ b/libs/node/src/control_listener.cpp
@@ -64,6 +64,8 @@
     return onAttach(Exchange);
   if (Path == "/v1/evidence" && Post)
     return onEvidence(Exchange);
+  if (Path == "/v1/steering" && Post)
+    return onSteering(Exchange);
   if (Path == "/v1/relays")
     return onRelays(Exchange);
   refuse(Exchange, 404, "unknown path");
@@ -174,6 +176,14 @@
   Exchange.reply(net::jsonResponse(200, "{}"));
 }
 
+void control_listener::onSteering(const net::http_exchange &Exchange) {
+  auto Notice = wire::decodeSteeringNotice(Exchange.request().Body);
+  if (!Notice)
+    return refuse(Exchange, 400, Notice.failure().message());
+  Outputs.Steering(std::move(*Notice));
+  Exchange.reply(net::jsonResponse(200, "{}"));
+}
+
 void control_listener::onRelays(const net::http_exchange &Exchange) {
   std::vector<relay_entry> Relays;
   for (const membership::member_record &Root : Context.State.members().roots())
--- a/libs/node/src/control_listener.h
+++ b/libs/node/src/control_listener.h
@@ -6,6 +6,7 @@
 #include "gentianlug/net/http_server.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/rollout/evidence.h"
+#include "gentianlug/rollout/steering_notice.h"
 
 #include <functional>
 #include <list>
@@ -20,6 +21,7 @@
     /// Records came from below and changed the state.
     std::function<void(const distribution::update_outcome &)> Changed;
     std::function<void(rollout::server_evidence)> Evidence;
+    std::function<void(rollout::steering_notice)> Steering;
   };
 
   control_listener(control_context &Context, outputs Outputs);
@@ -73,6 +75,7 @@
   void onUp(const net::http_exchange &Exchange);
   void onAttach(const net::http_exchange &Exchange);
   void onEvidence(const net::http_exchange &Exchange);
+  void onSteering(const net::http_exchange &Exchange);
   void onRelays(const net::http_exchange &Exchange);
   void refuse(const net::http_exchange &Exchange, int Status,
               const std::string &Reason);
--- a/libs/node/src/control_task.cpp
+++ b/libs/node/src/control_task.cpp
@@ -89,7 +89,7 @@
         Listener(Context, {[this](const update_outcome &Outcome) {
                              onChanged(Outcome, false);
                            },
-                           Outputs.Evidence}),
+                           Outputs.Evidence, Outputs.Steering}),
         Parent(Context,
                {[this](const update_outcome &Outcome) {
                   onChanged(Outcome, true);
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -4,6 +4,7 @@
 #include "gentianlug/node/admin_task.h"
 #include "gentianlug/node/control_task.h"
 #include "gentianlug/node/proxy_task.h"
+#include "gentianlug/node/rollout_task.h"
 #include "gentianlug/observe/log.h"
 
 #include <csignal>
@@ -21,6 +22,7 @@
   admin_task Admin;
   proxy_task Proxy;
   control_task Control;
+  rollout_task Rollouts;
 
   explicit node_tasks(const settings::node_settings &Settings)
       : Admin(Settings, {[this](server_announced Message) {
@@ -29,17 +31,30 @@
         Proxy(Settings, {[this](task_report Report) {
                            Admin.reports().post(std::move(Report));
                          },
-                         [](const evidence_ready &) {},
+                         [this](evidence_ready Message) {
+                           Rollouts.localEvidence().post(std::move(Message));
+                         },
                          [this] { Control.stops().post({}); }}),
         Control(Settings,
                 {[this](std::shared_ptr<const routing_snapshot> Snapshot) {
+                   Rollouts.snapshots().post(Snapshot);
                    Proxy.snapshots().post(std::move(Snapshot));
                  },
                  [this](task_report Report) {
                    Admin.reports().post(std::move(Report));
                  },
-                 [](const rollout::server_evidence &) {},
-                 [](const rollout_view &) {}}) {}
+                 [this](rollout::server_evidence Evidence) {
+                   Rollouts.remoteEvidence().post(std::move(Evidence));
+                 },
+                 [](const rollout_view &) {},
+                 [this](rollout::steering_notice Notice) {
+                   Rollouts.notices().post(std::move(Notice));
+                 }}),
+        Rollouts(Settings,
+                 {[this](const version_cut &Cut) { Proxy.cuts().post(Cut); },
+                  [this](task_report Report) {
+                    Admin.reports().post(std::move(Report));
+                  }}) {}
 
   result<void> listen() {
     if (auto Listening = Proxy.listen(); !Listening)
@@ -53,10 +68,13 @@
     Admin.start();
     Proxy.start();
     Control.start();
+    Rollouts.start();
   }
 
   void join() {
     Proxy.join();
+    Rollouts.stops().post({});
+    Rollouts.join();
     Control.join();
     Admin.stops().post({});
     Admin.join();
--- a/libs/node/src/rollout_task.cpp
+++ b/libs/node/src/rollout_task.cpp
@@ -52,6 +52,9 @@
   net::timer Tick;
   net::timer StopTimer;
   std::shared_ptr<const routing_snapshot> Snapshot;
+  /// Last known local server. A node whose server is gone keeps its part, so
+  /// that a rollout is not without a controller for that.
+  std::optional<wire::server_announcement> Server;
   std::unique_ptr<rollout_participation> Part;
   std::string LastReport;
   int MessagesUnderWay = 0;
@@ -84,13 +87,15 @@
 
   void onSnapshot(std::shared_ptr<const routing_snapshot> Next) {
     Snapshot = std::move(Next);
+    if (Snapshot->Server)
+      Server = Snapshot->Server;
     auto Task = currentTask();
     if (!Task) {
       Part.reset();
       Tick.cancel();
       return report();
     }
-    if (!Part || !Part->matches(*Task, *Snapshot->Server))
+    if (!Part || !Part->matches(*Task, *Server))
       takePart(std::move(*Task));
     Part->onConfiguration(Snapshot->Configuration->Version);
     auto State = Snapshot->Rollouts.find(Part->task().Rollout.Service);
@@ -102,11 +107,11 @@
   /// Returns what to steer; nothing when the service of the local server does
   /// not move.
   std::optional<rollout::controller_task> currentTask() const {
-    if (!Snapshot->Configuration || !Snapshot->Server)
+    if (!Snapshot->Configuration || !Server)
       return std::nullopt;
     const config::site_configuration &Configuration =
         Snapshot->Configuration->Configuration;
-    const service_name &Name = Snapshot->Server->Service;
+    const service_name &Name = Server->Service;
     const config::service *Service = config::findService(Configuration, Name);
     const config::rollout *Rollout = config::findRollout(Configuration, Name);
     if (!Service || !Rollout)
@@ -134,7 +139,7 @@
     rollout_session::context Context{Platform, Clock, Gen, Settings.Node};
     Part.reset();
     Part = std::make_unique<rollout_participation>(
-        Context, std::move(Task), *Snapshot->Server, makeVerdict(),
+        Context, std::move(Task), *Server, makeVerdict(),
         rollout_participation::outputs{Outputs.Cut});
     Tick.startEvery(rollout::JudgementPeriod);
   }
