--- a/libs/node/src/rollout_session.cpp
+++ b/libs/node/src/rollout_session.cpp
@@ -70,15 +70,16 @@
   }
 
   void onLeaseRead(result<platform::object> Answer) {
-    if (!Answer && isError(Answer.failure(), platform_errc::NotFound))
+    if (!Answer && isError(Answer.failure(), platform_errc::NotFound)) {
       Lease.onRead(now().Steady, std::nullopt);
-    else if (!Answer)
-      return Lease.onNoAnswer(now().Steady);
-    else if (auto Value = wire::decodeLeaseValue(Answer->Value))
-      Lease.onRead(now().Steady,
-                   platform::observed_lease{*Value, Answer->Revision});
-    else
+      return driveLease();
+    }
+    auto Value = Answer ? wire::decodeLeaseValue(Answer->Value)
+                        : result<platform::lease_value>(Answer.failure());
+    if (!Value)
       return Lease.onNoAnswer(now().Steady);
+    Lease.onRead(now().Steady,
+                 platform::observed_lease{*Value, Answer->Revision});
     driveLease();
   }
 
