Tell the controller of servers without calls

The proxy reports only periods with calls, so a new server at share 0 was never heard and its rollout stayed waiting. A node now sends empty evidence each second while its server is present.

--- a/libs/node/src/rollout_participation.cpp
+++ b/libs/node/src/rollout_participation.cpp
@@ -8,6 +8,9 @@
 using observe::logEvent;
 using rollout::rollout_phase;
 
+/// Longest time without evidence of a present server.
+static constexpr std::chrono::milliseconds HeartbeatPeriod{1000};
+
 /// Returns a first sequence number above those of earlier lives of the node,
 /// which sent at most four reports a second.
 static std::uint64_t firstSequence(wall_time Now) {
@@ -65,22 +68,35 @@
   Session.onEvidence(Evidence);
 }
 
-std::optional<address>
-rollout_participation::onLocalEvidence(rollout::server_evidence &Evidence) {
+void rollout_participation::onLocalEvidence(rollout::server_evidence Evidence) {
   if (Evidence.Service != Task.Rollout.Service || isDecided())
-    return std::nullopt;
+    return;
   Evidence.Node = Context.Node;
   Evidence.Sequence = ++Sequence;
-  if (Evidence.Version == Task.Rollout.Version && Guard.add(Evidence))
+  Allowance = Evidence.Allowance;
+  FullAllowance = Evidence.FullAllowance;
+  LastEvidence = Context.Clock.steadyNow();
+  bool IsNew = Evidence.Version == Task.Rollout.Version;
+  if (IsNew && Guard.add(Evidence))
     cut(std::to_string(Guard.runLength()) + " errors in a row");
-  Evidence.Cut = Evidence.Version == Task.Rollout.Version && !CutReason.empty();
-  if (steers()) {
+  Evidence.Cut = IsNew && !CutReason.empty();
+  if (steers())
     Session.onEvidence(Evidence);
-    return std::nullopt;
-  }
-  if (Controller.Port == 0 || Controller == Task.Control)
-    return std::nullopt;
-  return Controller;
+  else if (Controller.Port != 0 && Controller != Task.Control)
+    Outputs.Evidence(Controller, Evidence);
+}
+
+void rollout_participation::sendHeartbeat() {
+  if (!ServerPresent ||
+      Context.Clock.steadyNow() - LastEvidence < HeartbeatPeriod)
+    return;
+  rollout::server_evidence Evidence;
+  Evidence.Service = Server.Service;
+  Evidence.Version = Server.Version;
+  Evidence.ServerIncarnation = Server.Incarnation;
+  Evidence.Allowance = Allowance;
+  Evidence.FullAllowance = FullAllowance;
+  onLocalEvidence(std::move(Evidence));
 }
 
 void rollout_participation::cut(const std::string &Reason) {
@@ -91,20 +107,24 @@
   Outputs.Cut({Task.Rollout.Version, Task.Rollout.id(), true});
 }
 
-std::optional<rollout::steering_notice> rollout_participation::tick() {
+void rollout_participation::tick() {
+  Session.tick(!isDecided() && Candidacy.contends(Context.Clock.steadyNow()));
+  sendHeartbeat();
+  if (steers())
+    sendNotice();
+}
+
+void rollout_participation::sendNotice() {
   steady_time Now = Context.Clock.steadyNow();
-  Session.tick(!isDecided() && Candidacy.contends(Now));
-  if (!steers())
-    return std::nullopt;
   rollout::steering_notice Notice = Session.notice();
   if (!Notice.CutReason.empty())
     cut(Notice.CutReason);
   // A cut is told at once, then with each notice.
   if (Now < NextNotice && Notice.CutReason == NotedCut)
-    return std::nullopt;
+    return;
   NextNotice = Now + rollout::NoticePeriod;
   NotedCut = Notice.CutReason;
-  return Notice;
+  Outputs.Notice(Notice);
 }
 
 bool rollout_participation::release() {
--- a/libs/node/src/rollout_participation.h
+++ b/libs/node/src/rollout_participation.h
@@ -14,11 +14,16 @@
 
 /// One node's part in one rollout of the service of its local server: watches
 /// the local server, contends for the lease when no controller is heard, and
-/// answers where evidence goes. It has no sockets of its own.
+/// sends evidence and notices. It has no sockets of its own.
 class rollout_participation {
 public:
   struct outputs {
     std::function<void(version_cut)> Cut;
+    /// Sends evidence to a controller.
+    std::function<void(const address &, const rollout::server_evidence &)>
+        Evidence;
+    /// Sends a notice to the nodes beside the servers of the service.
+    std::function<void(const rollout::steering_notice &)> Notice;
   };
 
   /// \param Server the local server, of the service that moves.
@@ -39,16 +44,15 @@
   void onNotice(const rollout::steering_notice &Notice);
   void onRemoteEvidence(const rollout::server_evidence &Evidence);
 
-  /// Completes evidence of the local server and keeps it when this node
-  /// steers.
-  ///
-  /// \returns the controller to send it to, or nothing.
-  std::optional<address> onLocalEvidence(rollout::server_evidence &Evidence);
+  /// Tells whether the local server takes calls. While it does, the controller
+  /// hears of it at least each second, also without calls.
+  void onServer(bool Present) { ServerPresent = Present; }
+
+  /// Completes evidence of the local server and passes it to the controller.
+  void onLocalEvidence(rollout::server_evidence Evidence);
 
   /// Call it once each `JudgementPeriod`.
-  ///
-  /// \returns a notice when one is due.
-  std::optional<rollout::steering_notice> tick();
+  void tick();
 
   /// Gives the lease up. Returns whether `tick` must go on until it is given.
   bool release();
@@ -62,6 +66,8 @@
 private:
   bool isDecided() const;
   void cut(const std::string &Reason);
+  void sendHeartbeat();
+  void sendNotice();
 
   rollout_session::context Context;
   rollout::controller_task Task;
@@ -74,6 +80,11 @@
   /// Controller by the newest notice.
   address Controller;
   std::uint64_t Sequence;
+  bool ServerPresent = true;
+  /// Allowances of the last evidence; a server that sent none counts as cold.
+  std::uint32_t Allowance = 1;
+  std::uint32_t FullAllowance = 1;
+  steady_time LastEvidence{};
   std::string CutReason;
   /// Why and when the last notice was sent.
   std::string NotedCut;
--- a/libs/node/src/rollout_task.cpp
+++ b/libs/node/src/rollout_task.cpp
@@ -97,6 +97,7 @@
     }
     if (!Part || !Part->matches(*Task, *Server))
       takePart(std::move(*Task));
+    Part->onServer(Snapshot->Server && !Snapshot->Server->Draining);
     Part->onConfiguration(Snapshot->Configuration->Version);
     auto State = Snapshot->Rollouts.find(Part->task().Rollout.Service);
     if (State != Snapshot->Rollouts.end())
@@ -140,15 +141,21 @@
     Part.reset();
     Part = std::make_unique<rollout_participation>(
         Context, std::move(Task), *Server, makeVerdict(),
-        rollout_participation::outputs{Outputs.Cut});
+        rollout_participation::outputs{
+            Outputs.Cut,
+            [this](const address &Controller,
+                   const rollout::server_evidence &Evidence) {
+              send(Controller, "/v1/evidence", wire::encode(Evidence));
+            },
+            [this](const rollout::steering_notice &Notice) {
+              sendNotice(Notice);
+            }});
     Tick.startEvery(rollout::JudgementPeriod);
   }
 
   void onLocalEvidence(rollout::server_evidence Evidence) {
-    if (!Part)
-      return;
-    if (auto Controller = Part->onLocalEvidence(Evidence))
-      send(*Controller, "/v1/evidence", wire::encode(Evidence));
+    if (Part)
+      Part->onLocalEvidence(std::move(Evidence));
   }
 
   void send(const address &Peer, const std::string &Target, std::string Body) {
@@ -173,8 +180,7 @@
   void tick() {
     if (!Part)
       return;
-    if (auto Notice = Part->tick())
-      sendNotice(*Notice);
+    Part->tick();
     report();
     if (Stopping && !Part->release())
       Loop.stop();
--- a/libs/rollout/tests/sequential_verdict_test.cpp
+++ b/libs/rollout/tests/sequential_verdict_test.cpp
@@ -23,6 +23,7 @@
   double Share = 0.05;
   /// Calls of route "stock" in 250 ms; 160 calls/s.
   double StockCalls = 40;
+  bool NewAreTimed = true;
   sequential_verdict Verdict;
   std::uint32_t NewCalls = 0;
 
@@ -48,6 +49,8 @@
         drawCalls(Gen, Route, drawCount(Gen, Calls * (1 - Share)), Old));
     NewEvidence.Routes.push_back(
         drawCalls(Gen, Route, drawCount(Gen, Calls * Share), New));
+    if (!NewAreTimed)
+      NewEvidence.Routes.back().Latencies = {};
     NewCalls += NewEvidence.Routes.back().Calls;
   }
 
@@ -113,6 +116,17 @@
   }
 }
 
+// Guards against cold servers that never get the calls that make them warm.
+TEST(sequential_verdict, coldServersWithoutLatenciesMayGrow) {
+  simulated_service Service{1};
+  Service.NewAreTimed = false;
+  verdict_kind Kind = verdict_kind::Undecided;
+  for (int Step = 0; Step < Judgements && Kind == verdict_kind::Undecided;
+       ++Step)
+    Kind = Service.step().Kind;
+  CHECK_TRUE(Kind == verdict_kind::MayGrow);
+}
+
 // Guards against a bad version that gets calls for long. No call may come more
 // than 2 s after the fault showed; evidence and delivery take 0.5 s of that, so
 // 1.5 s remain for the verdict, here at a share of 5% of 400 calls/s.
