Cut a large share off only after the state had time to spread

A direct cut refuses calls that entry nodes must send again, and their retry budget is 10%. Above that share the controller first writes taken_back and cuts after 750 ms.

--- a/libs/node/src/rollout_participation.cpp
+++ b/libs/node/src/rollout_participation.cpp
@@ -2,6 +2,8 @@
 
 #include "gentianlug/observe/log.h"
 
+#include <algorithm>
+
 namespace gentianlug::node {
 
 using observe::event;
@@ -73,6 +75,7 @@
     return;
   Evidence.Node = Context.Node;
   Evidence.Sequence = ++Sequence;
+  Server.Incarnation = std::max(Server.Incarnation, Evidence.ServerIncarnation);
   Allowance = Evidence.Allowance;
   FullAllowance = Evidence.FullAllowance;
   LastEvidence = Context.Clock.steadyNow();
--- a/libs/node/src/rollout_session.cpp
+++ b/libs/node/src/rollout_session.cpp
@@ -196,7 +196,7 @@
           Impl->Lease.epoch(),
           Impl->Task.Control,
           Impl->Lease.holds(Impl->now().Steady),
-          Impl->Controller.cutReason()};
+          Impl->Controller.cutReason(Impl->now().Steady)};
 }
 
 const rollout::rollout_state *rollout_session::state() const {
--- a/libs/rollout/include/gentianlug/rollout/rollout_controller.h
+++ b/libs/rollout/include/gentianlug/rollout/rollout_controller.h
@@ -22,6 +22,13 @@
 /// A write takes effect within this time, or its answer is given up.
 inline constexpr std::chrono::milliseconds LongestWrite{2000};
 
+/// Up to this share new servers are cut off at once after a bad verdict: the
+/// retry budget of the entry nodes (10%) covers the refused calls. A larger
+/// share is left to the state, which reaches the entry nodes within about 1 s;
+/// the cut follows after `CutDelay`, so that it also works without platform.
+inline constexpr double LargestDirectCut = 0.1;
+inline constexpr std::chrono::milliseconds CutDelay{750};
+
 /// Both times of one moment.
 struct moment {
   steady_time Steady;
@@ -109,7 +116,7 @@
   bool decided() const;
 
   /// Returns why the new servers shall be cut off now, or "".
-  const std::string &cutReason() const;
+  std::string cutReason(steady_time Now) const;
 
   /// Returns the state as last read or written; null before that.
   const rollout_state *state() const;
--- a/libs/rollout/src/rollout_controller.cpp
+++ b/libs/rollout/src/rollout_controller.cpp
@@ -48,7 +48,9 @@
   /// Epoch under which the verdict was started; 0 before that.
   std::uint64_t JudgedEpoch = 0;
   verdict_kind Kind = verdict_kind::Undecided;
+  /// Why the new version is bad, and since when; "" while it is not.
   std::string Cut;
+  steady_time CutSince{};
   steady_time StepStart{};
   std::uint64_t CallsSinceStep = 0;
 
@@ -116,20 +118,32 @@
     if (IsNew)
       for (const route_evidence &Route : Evidence.Routes)
         CallsSinceStep += Route.Calls;
-    if (IsNew && Evidence.Cut && Cut.empty())
-      Cut = "node " + Evidence.Node.str() + " cut its server off";
+    if (IsNew && Evidence.Cut)
+      cut(Now, "node " + Evidence.Node.str() + " cut its server off");
     if (JudgedEpoch != 0)
       Verdict->add(IsNew ? rollout_side::New : rollout_side::Old, Evidence);
   }
 
-  void judge() {
+  void cut(steady_time Now, const std::string &Reason) {
+    if (!Cut.empty())
+      return;
+    Cut = Reason;
+    CutSince = Now;
+  }
+
+  bool cutsDirectly(steady_time Now) const {
+    double Share = Current ? Current->State.Share : 0;
+    return Share <= LargestDirectCut || Now - CutSince >= CutDelay;
+  }
+
+  void judge(steady_time Now) {
     Load.closePeriod();
     if (JudgedEpoch == 0)
       return;
     verdict Judged = Verdict->judge();
     Kind = Judged.Kind;
-    if (Kind == verdict_kind::Bad && Cut.empty())
-      Cut = Judged.Reason;
+    if (Kind == verdict_kind::Bad)
+      cut(Now, Judged.Reason);
   }
 
   /// Returns the state that this rollout shall have next; the current one when
@@ -267,7 +281,7 @@
     Impl->MustRead = true;
 }
 
-void rollout_controller::judge(moment) { Impl->judge(); }
+void rollout_controller::judge(moment Now) { Impl->judge(Now.Steady); }
 
 controller_action rollout_controller::next(moment Now, generator &Gen) {
   return Impl->next(Now, Gen);
@@ -303,7 +317,9 @@
 
 bool rollout_controller::decided() const { return Impl->decided(); }
 
-const std::string &rollout_controller::cutReason() const { return Impl->Cut; }
+std::string rollout_controller::cutReason(steady_time Now) const {
+  return Impl->cutsDirectly(Now) ? Impl->Cut : "";
+}
 
 const rollout_state *rollout_controller::state() const {
   return Impl->Current ? &Impl->Current->State : nullptr;
--- a/libs/rollout/tests/rollout_controller_test.cpp
+++ b/libs/rollout/tests/rollout_controller_test.cpp
@@ -152,7 +152,8 @@
   sendEvidence(true);
   settle();
   CHECK(state().Phase == rollout_phase::TakenBack);
-  CHECK_TRUE(Controller->cutReason().find("n2") != std::string::npos);
+  CHECK_TRUE(Controller->cutReason(Clock.steadyNow()).find("n2") !=
+             std::string::npos);
 }
 
 // Guards against rollouts that stay undecided: no servers, paused, or no
@@ -276,7 +277,7 @@
   Verdict = {verdict_kind::Bad, "errors"};
   letPass(1s);
   CHECK(state().Phase == rollout_phase::Growing);
-  STRCMP_EQUAL("errors", Controller->cutReason().c_str());
+  STRCMP_EQUAL("errors", Controller->cutReason(Clock.steadyNow()).c_str());
   Controller->onLease(true, Epoch);
   settle();
   CHECK(state().Phase == rollout_phase::TakenBack);
@@ -296,3 +297,17 @@
   settle();
   STRCMP_EQUAL(Rollout.id().c_str(), state().Id.c_str());
 }
+
+// Guards against a cut at a large share that refuses more calls than the entry
+// nodes may retry, before the state has moved them to the old version.
+TEST(rollout_controller, cutAtALargeShareFollowsTheState) {
+  Verdict.Kind = verdict_kind::MayGrow;
+  letPass(20s);
+  CHECK_TRUE(state().Share > LargestDirectCut);
+  Controller->onLease(false, 0);
+  Verdict = {verdict_kind::Bad, "errors"};
+  letPass(JudgementPeriod);
+  STRCMP_EQUAL("", Controller->cutReason(Clock.steadyNow()).c_str());
+  letPass(CutDelay);
+  STRCMP_EQUAL("errors", Controller->cutReason(Clock.steadyNow()).c_str());
+}
