--- a/libs/node/include/gentianlug/node/control_task.h
+++ b/libs/node/include/gentianlug/node/control_task.h
@@ -4,6 +4,7 @@
 #include "gentianlug/net/mailbox.h"
 #include "gentianlug/net/task.h"
 #include "gentianlug/node/messages.h"
+#include "gentianlug/rollout/steering_notice.h"
 #include "gentianlug/settings/node_settings.h"
 
 #include <functional>
@@ -24,6 +25,8 @@
     /// The draining state was reported toward the root, or a bound of 1 s
     /// passed.
     std::function<void()> DrainReported;
+    /// Notice of the controller of the local server's rollout.
+    std::function<void(rollout::steering_notice)> Steering;
   };
 
   control_task(settings::node_settings Settings, outputs Outputs);
--- a/libs/node/src/control_task.cpp
+++ b/libs/node/src/control_task.cpp
@@ -121,7 +121,7 @@
         State(Settings.Node, Incarnation), Context{Loop,     Clock,      Gen,
                                                    Metrics,  Settings,   State,
                                                    Platform, Incarnation},
-        Listener(Context, {changed(), Outputs.Evidence}),
+        Listener(Context, {changed(), Outputs.Evidence, Outputs.Steering}),
         Parent(Context, parentOutputs()),
         Exchange(Context, {changed(), [this] { return report(); }}),
         Relay(Context, relayOutputs()), Seeds(Context),
--- a/standins/members_main.cpp
+++ b/standins/members_main.cpp
@@ -1,6 +1,6 @@
 #include "gentianlug/core/clock.h"
-#include "gentianlug/net/http_client.h"
 #include "gentianlug/membership/member_table.h"
+#include "gentianlug/net/http_client.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/wire/control_messages.h"
 #include "program.h"
