Draw call ids that differ between nodes and lives

Call ids came from the seed of the settings alone. The seed of the proxy task is now mixed with the node id and the start time, and a serving node joins only copies of a non-idempotent call.

Scenario call_ids_differ passes; without the change it fails.

--- a/libs/node/src/proxy_task.cpp
+++ b/libs/node/src/proxy_task.cpp
@@ -1,6 +1,7 @@
 #include "gentianlug/node/proxy_task.h"
 
 #include "entry_proxy.h"
+#include "gentianlug/core/hash.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/node/call_headers.h"
 #include "serving_proxy.h"
@@ -81,8 +82,16 @@
              [this](const version_cut &Cut) { Serving.onVersionCut(Cut); }),
         Stops(Loop, [this](stop_request) { stop(); }) {}
 
+  /// Call ids come from this seed. They must differ between nodes and between
+  /// lives of a node, even with equal settings: with equal ids on two nodes a
+  /// caller gets the answer to the call of another.
+  std::uint64_t drawnSeed() const {
+    auto Life = Clock.wallNow().time_since_epoch().count();
+    return Settings.Seed ^ hash64(Settings.Node.str()) ^ std::uint64_t(Life);
+  }
+
   serving_proxy::context context() {
-    return {Loop, Clock, Metrics, Settings.Seed, Settings.Node};
+    return {Loop, Clock, Metrics, drawnSeed(), Settings.Node};
   }
 
   void report() {
--- a/libs/node/src/serving_proxy.cpp
+++ b/libs/node/src/serving_proxy.cpp
@@ -133,7 +133,9 @@
 
   void onCall(const net::http_exchange &Exchange) {
     call_details Details = readCallDetails(Exchange.request());
-    if (auto Known = Tickets.find(Details.Id); Known != Tickets.end())
+    auto Known = Tickets.find(Details.Id);
+    if (Known != Tickets.end() && !Details.Idempotent &&
+        !Calls.at(Known->second)->Details.Idempotent)
       return join(Known->second, Exchange);
     if (!mayBegin(Exchange, Details))
       return;
@@ -150,8 +152,9 @@
     const call_details &Kept = Call->Details;
     admission::offered_call Offered{Ticket, Kept.Customer, Kept.Route,
                                     Kept.Priority, Call->Deadline};
+    // A second idempotent call with the id runs as well and stays unlisted.
     if (!Kept.Id.empty())
-      Tickets[Kept.Id] = Ticket;
+      Tickets.try_emplace(Kept.Id, Ticket);
     Calls[Ticket] = std::move(Call);
     join(Ticket, Exchange);
     Admission.offer(Offered, now());
@@ -381,7 +384,9 @@
     auto Entry = Calls.find(Ticket);
     std::unique_ptr<serving_call> Call = std::move(Entry->second);
     Calls.erase(Entry);
-    Tickets.erase(Call->Details.Id);
+    auto Listed = Tickets.find(Call->Details.Id);
+    if (Listed != Tickets.end() && Listed->second == Ticket)
+      Tickets.erase(Listed);
     return Call;
   }
 
--- /dev/null
+++ b/scenarios/call_ids_differ.lua
@@ -0,0 +1,33 @@
+-- Nodes with equal seeds, and a node before and after a restart, must not draw
+-- the same call ids: a serving node would take two calls for one, and a caller
+-- would get the answer to the call of another.
+local mesh = require("mesh")
+local site = mesh.new("qc-east")
+local examples = run.source .. "/examples/beaudoin/"
+local first = site:add_node("first", "qc-east-1")
+local second = site:add_node("second", "qc-east-2")
+local code, output = site:apply(examples .. "base.json",
+  examples .. "qc-east.json", "marie", "first configuration")
+assert(code == 0, output)
+site:wait_version(1, 30000)
+
+local seen = {}
+-- No server is needed: refusals carry the call id too.
+local function check_ids(node)
+  for _ = 1, 10 do
+    local _, body, headers = http("POST", node.caller, "/commandes", "pot")
+    local id = headers and headers["gl-call-id"]
+    assert(id, body)
+    assert(not seen[id], "call id " .. id .. " was drawn twice")
+    seen[id] = true
+  end
+end
+
+check_ids(first)
+check_ids(second)
+signal(second.pid, mesh.SIGKILL)
+wait_exit(second.pid, 10000)
+site:start_node(second)
+site:wait_version(1, 30000)
+check_ids(second)
+site:stop()
