--- a/libs/node/src/control_listener.cpp
+++ b/libs/node/src/control_listener.cpp
@@ -37,7 +37,9 @@
           [this](const net::http_exchange &Exchange) { onRequest(Exchange); }),
       FlushTimer(Context.Loop, [this] { flush(); }),
       TickTimer(Context.Loop, [this] { tick(); }),
-      Children(Context.Settings.Node) {}
+      Children(Context.Settings.Node) {
+  Context.State.watchChildren(&Children);
+}
 
 result<void> control_listener::listen() {
   TickTimer.startEvery(TickPeriod);
@@ -64,6 +66,8 @@
     return onAttach(Exchange);
   if (Path == "/v1/evidence" && Post)
     return onEvidence(Exchange);
+  if (Path == "/v1/steering" && Post)
+    return onSteering(Exchange);
   if (Path == "/v1/relays")
     return onRelays(Exchange);
   refuse(Exchange, 404, "unknown path");
@@ -95,7 +99,7 @@
   Poller.Digest = Request.Digest;
   Poller.OwnDigest = Own;
   Poller.LastSeen = Context.now();
-  Poller.Zone = Request.From.Zone;
+  Poller.Relay = {Request.From.Node, Request.From.Zone, Request.From.Control};
   Poller.IsRelay = Request.Role == sync_role::Relay;
   Poller.Report = Request.Report;
   if (Poller.Differing < DifferingPolls)
@@ -174,6 +178,14 @@
   Exchange.reply(net::jsonResponse(200, "{}"));
 }
 
+void control_listener::onSteering(const net::http_exchange &Exchange) {
+  auto Notice = wire::decodeSteeringNotice(Exchange.request().Body);
+  if (!Notice)
+    return refuse(Exchange, 400, Notice.failure().message());
+  Outputs.Steering(std::move(*Notice));
+  Exchange.reply(net::jsonResponse(200, "{}"));
+}
+
 void control_listener::onRelays(const net::http_exchange &Exchange) {
   std::vector<relay_entry> Relays;
   for (const membership::member_record &Root : Context.State.members().roots())
@@ -195,11 +207,19 @@
 tree_report control_listener::relayReports(const zone_name &Zone) const {
   tree_report Sum;
   for (const auto &[Node, Poller] : Pollers)
-    if (Poller.IsRelay && Poller.Zone == Zone)
+    if (Poller.IsRelay && Poller.Relay.Zone == Zone)
       Sum.merge(Poller.Report);
   return Sum;
 }
 
+std::vector<relay_entry> control_listener::relayPollers() const {
+  std::vector<relay_entry> Relays;
+  for (const auto &[Node, Poller] : Pollers)
+    if (Poller.IsRelay)
+      Relays.push_back(Poller.Relay);
+  return Relays;
+}
+
 void control_listener::onStateChanged() {
   if (std::exchange(FlushPending, true))
     return;
--- a/libs/node/src/control_listener.h
+++ b/libs/node/src/control_listener.h
@@ -6,6 +6,7 @@
 #include "gentianlug/net/http_server.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/rollout/evidence.h"
+#include "gentianlug/rollout/steering_notice.h"
 
 #include <functional>
 #include <list>
@@ -20,6 +21,7 @@
     /// Records came from below and changed the state.
     std::function<void(const distribution::update_outcome &)> Changed;
     std::function<void(rollout::server_evidence)> Evidence;
+    std::function<void(rollout::steering_notice)> Steering;
   };
 
   control_listener(control_context &Context, outputs Outputs);
@@ -44,6 +46,10 @@
   /// Returns the reports of the other root relays of \p Zone that poll here.
   distribution::tree_report relayReports(const zone_name &Zone) const;
 
+  /// Returns the other root relays that poll here. A relay that has just
+  /// taken its lease is known by its poll before the next listing.
+  std::vector<distribution::relay_entry> relayPollers() const;
+
   /// Returns the bytes sent and received by this listener.
   std::uint64_t bytes() const { return Server.bytes(); }
 
@@ -62,8 +68,7 @@
     std::uint64_t OwnDigest = 0;
     unsigned Differing = 0;
     steady_time LastSeen{};
-    /// Of another root relay, with its zone.
-    zone_name Zone;
+    distribution::relay_entry Relay;
     bool IsRelay = false;
     distribution::tree_report Report;
   };
@@ -73,6 +78,7 @@
   void onUp(const net::http_exchange &Exchange);
   void onAttach(const net::http_exchange &Exchange);
   void onEvidence(const net::http_exchange &Exchange);
+  void onSteering(const net::http_exchange &Exchange);
   void onRelays(const net::http_exchange &Exchange);
   void refuse(const net::http_exchange &Exchange, int Status,
               const std::string &Reason);
