--- /dev/null
+++ b/fuzz/compile_fuzz.cpp
@@ -0,0 +1,42 @@
+#include "gentianlug/config/explain.h"
+#include "gentianlug/config/parts.h"
+
+#include <cstdlib>
+
+using namespace gentianlug;
+using namespace gentianlug::config;
+
+/// Separates the base from the overlay in one input.
+static constexpr std::string_view Separator = "\n---\n";
+
+static void require(bool Condition) {
+  if (!Condition)
+    std::abort();
+}
+
+/// Compiles any two texts. What compiles must survive the way over the
+/// platform unchanged.
+// The name is given by libFuzzer.
+// NOLINTNEXTLINE(readability-identifier-naming)
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  std::string Text(reinterpret_cast<const char *>(Data), Size);
+  auto Cut = Text.find(Separator);
+  source_file Base{"base", Text.substr(0, Cut)};
+  source_file Overlay{"overlay", "{}"};
+  if (Cut != std::string::npos)
+    Overlay.Text = Text.substr(Cut + Separator.size());
+  site_name Site("site");
+  compile_output Output =
+      compileAll({Base, {{Site, Overlay}}, wall_time{}, {}});
+  for (const compile_fault &Fault : Output.Faults)
+    require(!Fault.Reason.empty() && Fault.Line > 0);
+  if (!Output.Faults.empty())
+    return 0;
+  part_map Parts = cutIntoParts(Output.Sites.front());
+  auto Assembled = assemble(Parts, rootHash(hashesOf(Parts)));
+  require(bool(Assembled) && *Assembled == Output.Sites.front());
+  require(bool(
+      explainPath(Site, Base, Overlay, "zone_round_trip_us", wall_time{})));
+  return 0;
+}
--- a/libs/core/src/core.cpp
+++ b/libs/core/src/core.cpp
@@ -3,6 +3,7 @@
 #include "gentianlug/core/error_table.h"
 #include "gentianlug/core/hash.h"
 #include "gentianlug/core/random.h"
+#include "gentianlug/core/text.h"
 
 #include <charconv>
 #include <cstdio>
@@ -51,4 +52,24 @@
 
 std::string drawHexId(generator &Gen) { return hex64(Gen()); }
 
+static bool continuesCharacter(char Byte) {
+  return (static_cast<unsigned char>(Byte) & 0xC0) == 0x80;
+}
+
+std::string boundText(std::string_view Text, std::size_t MaxBytes) {
+  if (Text.size() <= MaxBytes)
+    return std::string(Text);
+  while (MaxBytes > 0 && continuesCharacter(Text[MaxBytes]))
+    --MaxBytes;
+  return std::string(Text.substr(0, MaxBytes)) + "...";
+}
+
+std::string printableText(std::string_view Text) {
+  std::string Printable(Text);
+  for (char &Byte : Printable)
+    if (Byte < ' ' || Byte > '~')
+      Byte = '?';
+  return Printable;
+}
+
 } // namespace gentianlug
--- a/libs/core/tests/core_test.cpp
+++ b/libs/core/tests/core_test.cpp
@@ -4,6 +4,8 @@
 #include "gentianlug/core/hash.h"
 #include "gentianlug/core/random.h"
 
+#include "gentianlug/core/text.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace gentianlug;
@@ -41,3 +43,17 @@
     CHECK_EQUAL(32U, contentHash(Id).size());
   }
 }
+
+TEST_GROUP(text){};
+
+// Guards against half a character at the cut, which JSON refuses.
+TEST(text, IsCutBetweenCharacters) {
+  STRCMP_EQUAL("ab", boundText("ab", 2).c_str());
+  STRCMP_EQUAL("a...", boundText("a\xc5\x88z", 2).c_str());
+  STRCMP_EQUAL("a\xc5\x88...", boundText("a\xc5\x88z", 3).c_str());
+  STRCMP_EQUAL("...", boundText("\x88\x88", 1).c_str());
+}
+
+TEST(text, BytesOfUnknownOriginBecomePrintable) {
+  STRCMP_EQUAL("a?b??", printableText("a\nb\xff\x7f").c_str());
+}
--- a/libs/operator/tests/wait_gc_status_test.cpp
+++ b/libs/operator/tests/wait_gc_status_test.cpp
@@ -180,7 +180,7 @@
   CHECK_FALSE(parses({"status", "--platfrom", "x"}));
   CHECK_FALSE(parses({"status", "--platform", "x"}));
   CHECK(parses({"zone", "out", "z", "--reason", "povode\xc5\x88"}));
-  for (std::vector<std::string> Words :
+  for (const std::vector<std::string> &Words :
        std::vector<std::vector<std::string>>{{},
                                              {"aply"},
                                              {"apply"},
--- a/libs/settings/include/gentianlug/settings/object_reader.h
+++ b/libs/settings/include/gentianlug/settings/object_reader.h
@@ -20,6 +20,10 @@
   std::string Reason;
 };
 
+/// Longest text that an error makes of a list of faults. Nodes report such
+/// texts in their status, where ten of them must fit into one object.
+inline constexpr std::size_t MaxFaultBytes = 4000;
+
 /// Collects every fault of one file, as "FILE: PATH: REASON".
 class fault_list {
 public:
@@ -29,7 +33,8 @@
   bool empty() const { return Faults.empty(); }
   const std::vector<fault> &list() const { return Faults; }
 
-  /// Returns `settings_errc::BadField` with all faults, one a line.
+  /// Returns `settings_errc::BadField` with the faults, one a line, up to
+  /// `MaxFaultBytes`.
   error toError() const;
 
 private:
--- a/libs/settings/src/json_file.cpp
+++ b/libs/settings/src/json_file.cpp
@@ -2,6 +2,7 @@
 
 #include "detail/json_text.h"
 #include "gentianlug/core/error_table.h"
+#include "gentianlug/core/text.h"
 #include "gentianlug/settings/settings_errc.h"
 
 #include <cerrno>
@@ -10,6 +11,9 @@
 
 namespace gentianlug::settings {
 
+/// Bound of the parser's message, which quotes the text that it read.
+static constexpr std::size_t MaxReasonBytes = 300;
+
 static constexpr error_text SettingsTexts[] = {
     {int(settings_errc::UnreadableFile), "file cannot be read"},
     {int(settings_errc::MalformedJson), "malformed JSON"},
@@ -47,9 +51,11 @@
   // The parser reports position and reason only through its exception.
   try {
     return nlohmann::json::parse(Text, nullptr, true, true);
-  } catch (const nlohmann::json::parse_error &Failure) {
-    return makeError(settings_errc::MalformedJson,
-                     Path + ": " + Failure.what());
+    // A number out of range is an error of another class than a syntax error.
+  } catch (const nlohmann::json::exception &Failure) {
+    return makeError(
+        settings_errc::MalformedJson,
+        Path + ": " + boundText(printableText(Failure.what()), MaxReasonBytes));
   }
 }
 
--- a/libs/settings/src/object_reader.cpp
+++ b/libs/settings/src/object_reader.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/settings/object_reader.h"
 
+#include "gentianlug/core/text.h"
 #include "gentianlug/settings/settings_errc.h"
 
 namespace gentianlug::settings {
@@ -10,10 +11,13 @@
 
 error fault_list::toError() const {
   std::string Joined;
-  for (const fault &Fault : Faults)
+  for (const fault &Fault : Faults) {
+    if (Joined.size() > MaxFaultBytes)
+      break;
     Joined += (Joined.empty() ? "" : "\n") + File + ": " + Fault.Path + ": " +
               Fault.Reason;
-  return makeError(settings_errc::BadField, Joined);
+  }
+  return makeError(settings_errc::BadField, boundText(Joined, MaxFaultBytes));
 }
 
 object_reader::object_reader(const nlohmann::json &Json, std::string Path,
--- a/libs/settings/tests/position_index_test.cpp
+++ b/libs/settings/tests/position_index_test.cpp
@@ -1,4 +1,5 @@
 #include "gentianlug/settings/json_file.h"
+#include "gentianlug/settings/object_reader.h"
 #include "gentianlug/settings/position_index.h"
 
 #include <CppUTest/TestHarness.h>
@@ -47,3 +48,30 @@
   CHECK(bool(parseJson(
       std::string(MaxNesting, '[') + std::string(MaxNesting, ']'), "ok.json")));
 }
+
+TEST_GROUP(parse_json){};
+
+// Guards against a crash on a number that no double can hold.
+TEST(parse_json, NumbersOutOfRangeAreMalformed) {
+  CHECK_FALSE(bool(parseJson("32E99999", "x")));
+}
+
+// Guards against a message that cannot travel as JSON, or that is as long as
+// the malformed value.
+TEST(parse_json, MessagesAreShortAndPrintable) {
+  std::string Text = "{\"\xff" + std::string(5000, 'x');
+  auto Parsed = parseJson(Text, "x");
+  CHECK_FALSE(bool(Parsed));
+  std::string Message = Parsed.failure().message();
+  CHECK(Message.size() < 500);
+  CHECK(Message.find('\xff') == std::string::npos);
+}
+
+// Guards against a refusal that is too large for the status of a zone.
+TEST(parse_json, ListsOfFaultsAreBounded) {
+  fault_list Faults("file");
+  for (int Number = 0; Number < 10000; ++Number)
+    Faults.add("path", "reason");
+  CHECK(Faults.toError().Detail.size() <= MaxFaultBytes + 3);
+  CHECK_EQUAL(10000U, Faults.list().size());
+}
