--- a/libs/node/src/proxy_task.cpp
+++ b/libs/node/src/proxy_task.cpp
@@ -50,6 +50,7 @@
   net::timer ReportTimer;
   net::timer StopTimer;
   net::mailbox<std::shared_ptr<const routing_snapshot>> Snapshots;
+  net::mailbox<server_announced> Announcements;
   net::mailbox<version_cut> Cuts;
   net::mailbox<stop_request> Stops;
   std::shared_ptr<const routing_snapshot> Snapshot;
@@ -72,6 +73,10 @@
                     Serving.onSnapshot(Next);
                     Entry.onSnapshot(Next);
                   }),
+        Announcements(Loop,
+                      [this](const server_announced &Message) {
+                        Serving.onAnnouncement(Message.Announcement);
+                      }),
         Cuts(Loop,
              [this](const version_cut &Cut) { Serving.onVersionCut(Cut); }),
         Stops(Loop, [this](stop_request) { stop(); }) {}
@@ -157,6 +162,10 @@
   return Impl->Snapshots;
 }
 
+net::mailbox<server_announced> &proxy_task::announcements() {
+  return Impl->Announcements;
+}
+
 net::mailbox<version_cut> &proxy_task::cuts() { return Impl->Cuts; }
 
 net::mailbox<stop_request> &proxy_task::stops() { return Impl->Stops; }
--- a/libs/wire/src/rollout_values.cpp
+++ b/libs/wire/src/rollout_values.cpp
@@ -135,6 +135,7 @@
   Notice.RolloutId = Reader.text("rollout");
   Notice.Service = service_name(Reader.text("service"));
   Notice.Epoch = detail::readUnsigned(Reader, "epoch");
+  Notice.Controller = Reader.endpoint("controller");
   Notice.Held = Reader.flag("held", false);
   Notice.CutReason = Reader.text("cut_reason", "");
   return Notice;
@@ -145,11 +146,10 @@
 }
 
 std::string encode(const rollout::steering_notice &Notice) {
-  return json{{"rollout", Notice.RolloutId},
-              {"service", Notice.Service.str()},
-              {"epoch", Notice.Epoch},
-              {"held", Notice.Held},
-              {"cut_reason", Notice.CutReason}}
+  return json{
+      {"rollout", Notice.RolloutId}, {"service", Notice.Service.str()},
+      {"epoch", Notice.Epoch},       {"controller", Notice.Controller.str()},
+      {"held", Notice.Held},         {"cut_reason", Notice.CutReason}}
       .dump();
 }
 
