--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -47,6 +47,7 @@
                    Rollouts.remoteEvidence().post(std::move(Evidence));
                  },
                  [](const rollout_view &) {},
+                 [this] { Proxy.stops().post({}); },
                  [this](rollout::steering_notice Notice) {
                    Rollouts.notices().post(std::move(Notice));
                  }}),
@@ -96,7 +97,7 @@
                                    Settings.CallerListen.str());
   net::event_loop Signals;
   net::signal_watch Watch(Signals, {SIGTERM, SIGINT}, [&](int) {
-    Tasks.Proxy.stops().post({});
+    Tasks.Control.drains().post({});
     Signals.stop();
   });
   Signals.run();
--- a/libs/node/src/rollout_participation.cpp
+++ b/libs/node/src/rollout_participation.cpp
@@ -29,7 +29,7 @@
       Session(Context, std::move(Task), std::move(Verdict)),
       Sequence(firstSequence(Context.Clock.wallNow())) {
   Candidacy.start(Context.Clock.steadyNow(), Context.Gen);
-  Guard.start(0);
+  Guard.start(1);
 }
 
 rollout_participation::~rollout_participation() {
@@ -52,7 +52,6 @@
   if (State.Id != Task.Rollout.id())
     return;
   Delivered = State;
-  Guard.setOldErrorRate(State.OldErrorRate);
   Session.onDelivered(State);
 }
 
@@ -61,6 +60,7 @@
       !Candidacy.onNotice(Context.Clock.steadyNow(), Notice, Context.Gen))
     return;
   Controller = Notice.Controller;
+  Guard.setOldErrorRate(Notice.OldErrorRate);
   if (!Notice.CutReason.empty())
     cut(Notice.CutReason);
 }
@@ -120,6 +120,7 @@
 void rollout_participation::sendNotice() {
   steady_time Now = Context.Clock.steadyNow();
   rollout::steering_notice Notice = Session.notice();
+  Guard.setOldErrorRate(Notice.OldErrorRate);
   if (!Notice.CutReason.empty())
     cut(Notice.CutReason);
   // A cut is told at once, then with each notice.
--- a/libs/node/src/rollout_session.cpp
+++ b/libs/node/src/rollout_session.cpp
@@ -196,6 +196,7 @@
           Impl->Lease.epoch(),
           Impl->Task.Control,
           Impl->Lease.holds(Impl->now().Steady),
+          Impl->Controller.oldErrorRate(),
           Impl->Controller.cutReason(Impl->now().Steady)};
 }
 
--- a/libs/node/src/rollout_task.cpp
+++ b/libs/node/src/rollout_task.cpp
@@ -26,7 +26,7 @@
 /// Longest time at a stop for giving the lease up.
 static constexpr milliseconds LongestRelease{1000};
 /// Length of the steps of the baseline.
-static constexpr milliseconds FixedStep{10000};
+static constexpr milliseconds FixedStep{8000};
 
 static std::uint64_t seedOf(const settings::node_settings &Settings) {
   if (Settings.Seed == 0)
--- a/libs/rollout/include/gentianlug/rollout/local_guard.h
+++ b/libs/rollout/include/gentianlug/rollout/local_guard.h
@@ -17,7 +17,7 @@
 inline constexpr double FalseRunRate = 1e-8;
 
 /// Error rate that even a clean old version is taken to have.
-inline constexpr double LeastErrorRate = 0.005;
+inline constexpr double LeastErrorRate = 0.002;
 
 /// Decides on the node beside a new server, by its own calls alone, to cut the
 /// server off: after a run of errors that the error rate of the old version
@@ -26,7 +26,8 @@
 public:
   /// Starts for one rollout; forgets everything.
   ///
-  /// \param OldErrorRate error rate of the old version, from the state.
+  /// \param OldErrorRate error rate of the old version, from the controller;
+  /// 1 while it is not known, which leaves out any cut.
   void start(double OldErrorRate);
 
   /// Changes the error rate of the old version; the runs go on.
--- a/libs/rollout/include/gentianlug/rollout/rollout_controller.h
+++ b/libs/rollout/include/gentianlug/rollout/rollout_controller.h
@@ -118,6 +118,9 @@
   /// Returns why the new servers shall be cut off now, or "".
   std::string cutReason(steady_time Now) const;
 
+  /// See `verdict_policy`.
+  double oldErrorRate() const;
+
   /// Returns the state as last read or written; null before that.
   const rollout_state *state() const;
 
--- a/libs/rollout/include/gentianlug/rollout/rollout_state.h
+++ b/libs/rollout/include/gentianlug/rollout/rollout_state.h
@@ -41,8 +41,6 @@
   std::uint32_t Controllers = 0;
   /// Version of the configuration that the controller acted on.
   config_version ConfigVersion = 0;
-  /// Error rate of the old version, for the local guard.
-  double OldErrorRate = 0;
   std::string Reason;
   std::string WriteId;
 
--- a/libs/rollout/src/fixed_threshold_verdict.cpp
+++ b/libs/rollout/src/fixed_threshold_verdict.cpp
@@ -25,7 +25,7 @@
 }
 
 double fixed_threshold_verdict::oldErrorRate() const {
-  return Old.Calls > 0 ? double(Old.Errors) / double(Old.Calls) : 0;
+  return double(Old.Errors + 1) / double(Old.Calls + 1);
 }
 
 } // namespace gentianlug::rollout
--- a/libs/wire/tests/rollout_values_test.cpp
+++ b/libs/wire/tests/rollout_values_test.cpp
@@ -21,7 +21,6 @@
   State.Controller = {"127.0.0.1", 7003};
   State.Controllers = 2;
   State.ConfigVersion = 9;
-  State.OldErrorRate = 0.25;
   auto Decoded = decodeRolloutState(encode(State));
   CHECK(bool(Decoded));
   CHECK(State == *Decoded);
@@ -46,7 +45,7 @@
 // Guards against a cut that is lost on its way to the node beside the server.
 TEST(rollout_values, NoticeRoundTrip) {
   rollout::steering_notice Notice{"commandes@v2@1", service_name("commandes"),
-                                  4, {"127.0.0.1", 7003}, true, "errors"};
+                                  4, {"127.0.0.1", 7003}, true, 0.25, "errors"};
   auto Decoded = decodeSteeringNotice(encode(Notice));
   CHECK(bool(Decoded));
   CHECK(Notice == *Decoded);
