--- a/libs/node/src/rollout_task.cpp
+++ b/libs/node/src/rollout_task.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/node/rollout_task.h"
 
+#include "gentianlug/core/hash.h"
 #include "gentianlug/net/http_client.h"
 #include "gentianlug/net/platform_client.h"
 #include "gentianlug/net/timer.h"
@@ -28,10 +29,13 @@
 /// Length of the steps of the baseline.
 static constexpr milliseconds FixedStep{8000};
 
+/// Write ids must differ between nodes with one configured seed, and between
+/// the lives of a node.
 static std::uint64_t seedOf(const settings::node_settings &Settings) {
   if (Settings.Seed == 0)
     return std::random_device{}();
-  return Settings.Seed + std::hash<node_id>{}(Settings.Node);
+  auto Life = system_clock().wallNow().time_since_epoch().count();
+  return Settings.Seed ^ hash64(Settings.Node.str()) ^ std::uint64_t(Life);
 }
 
 struct rollout_task::impl {
