--- a/libs/rollout/include/gentianlug/rollout/verdict_policy.h
+++ b/libs/rollout/include/gentianlug/rollout/verdict_policy.h
@@ -53,7 +53,8 @@
   /// evidence between two calls counts as simultaneous.
   virtual verdict judge() = 0;
 
-  /// Returns the error rate of the old version as known so far, 0 to 1.
+  /// Returns the error rate of the old version, 0 to 1, rather too high while
+  /// few calls are known: one more error is assumed than was seen.
   virtual double oldErrorRate() const = 0;
 };
 
