--- a/libs/node/src/control_task.cpp
+++ b/libs/node/src/control_task.cpp
@@ -126,7 +126,7 @@
         State(Settings.Node, Incarnation), Context{Loop,     Clock,      Gen,
                                                    Metrics,  Settings,   State,
                                                    Platform, Incarnation},
-        Listener(Context, {changed(), Outputs.Evidence}),
+        Listener(Context, {changed(), Outputs.Evidence, Outputs.Steering}),
         Parent(Context, parentOutputs()),
         Exchange(Context, {changed(), [this] { return report(); },
                            [this] { return Relay.isCut(); }}),
@@ -176,7 +176,7 @@
   void start() {
     Own.Node = Settings.Node;
     Own.Zone = Settings.Zone;
-    Own.PeerAddress = Settings.PeerListen;
+    Own.PeerAddress = Settings.PeerAddress;
     Own.ControlAddress = Settings.ControlListen;
     Own.Incarnation = Incarnation;
     ReportTimer.startEvery(ReportPeriod);
--- a/libs/node/src/proxy_task.cpp
+++ b/libs/node/src/proxy_task.cpp
@@ -1,6 +1,7 @@
 #include "gentianlug/node/proxy_task.h"
 
 #include "entry_proxy.h"
+#include "gentianlug/core/hash.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/node/call_headers.h"
 #include "serving_proxy.h"
@@ -50,6 +51,7 @@
   net::timer ReportTimer;
   net::timer StopTimer;
   net::mailbox<std::shared_ptr<const routing_snapshot>> Snapshots;
+  net::mailbox<server_announced> Announcements;
   net::mailbox<version_cut> Cuts;
   net::mailbox<stop_request> Stops;
   std::shared_ptr<const routing_snapshot> Snapshot;
@@ -72,12 +74,24 @@
                     Serving.onSnapshot(Next);
                     Entry.onSnapshot(Next);
                   }),
+        Announcements(Loop,
+                      [this](const server_announced &Message) {
+                        Serving.onAnnouncement(Message.Announcement);
+                      }),
         Cuts(Loop,
              [this](const version_cut &Cut) { Serving.onVersionCut(Cut); }),
         Stops(Loop, [this](stop_request) { stop(); }) {}
 
+  /// Call ids come from this seed. They must differ between nodes and between
+  /// lives of a node, even with equal settings: with equal ids on two nodes a
+  /// caller gets the answer to the call of another.
+  std::uint64_t drawnSeed() const {
+    auto Life = Clock.wallNow().time_since_epoch().count();
+    return Settings.Seed ^ hash64(Settings.Node.str()) ^ std::uint64_t(Life);
+  }
+
   serving_proxy::context context() {
-    return {Loop, Clock, Metrics, Settings.Seed, Settings.Node};
+    return {Loop, Clock, Metrics, drawnSeed(), Settings.Node};
   }
 
   void report() {
@@ -157,6 +171,10 @@
   return Impl->Snapshots;
 }
 
+net::mailbox<server_announced> &proxy_task::announcements() {
+  return Impl->Announcements;
+}
+
 net::mailbox<version_cut> &proxy_task::cuts() { return Impl->Cuts; }
 
 net::mailbox<stop_request> &proxy_task::stops() { return Impl->Stops; }
