--- a/bench/lib/fleet.lua
+++ b/bench/lib/fleet.lua
@@ -28,13 +28,17 @@
   return overlay
 end
 
--- Accepts generation N of a base as the next version.
-function fleet.apply(site, services, generation, zones)
+-- Tries to have generation N of a base accepted; returns code and output.
+function fleet.try_apply(site, services, generation, zones)
   local base, overlay = run.folder .. "/base.json", run.folder .. "/overlay.json"
   write_file(base, json_encode(fleet.base(services, generation)))
   write_file(overlay, json_encode(fleet.overlay(zones)))
-  local code, output = site:apply(base, overlay, "bench",
-    "generation " .. generation)
+  return site:apply(base, overlay, "bench", "generation " .. generation)
+end
+
+-- Accepts generation N of a base as the next version.
+function fleet.apply(site, services, generation, zones)
+  local code, output = fleet.try_apply(site, services, generation, zones)
   assert(code == 0, output)
 end
 
--- a/scenarios/platform_outage.lua
+++ b/scenarios/platform_outage.lua
@@ -1,15 +1,14 @@
 -- The platform is down. Nodes keep what is in force, and a node that restarts
 -- gets the newest accepted version from its peers.
 local mesh = require("mesh")
+local fleet = require("fleet")
 local site = mesh.new("qc-east")
-local examples = run.source .. "/examples/beaudoin/"
+local zones = { "qc-east-1", "qc-east-2", "qc-east-3" }
 for number = 1, 6 do
   site:add_node("node-" .. number, "qc-east-" .. (number - 1) % 2 + 1)
 end
 for version = 1, 2 do
-  local code, output = site:apply(examples .. "base.json",
-    examples .. "qc-east.json", "marie", "version " .. version)
-  assert(code == 0, output)
+  fleet.apply(site, 3, version, zones)
 end
 site:wait_version(2, 30000)
 site:platform_faults({ down = true })
@@ -34,7 +33,5 @@
   assert(site:version_in_force(node) == 2, node.name)
 end
 site:platform_faults({})
-local code, output = site:apply(examples .. "base.json",
-  examples .. "qc-east.json", "marie", "after the outage")
-assert(code == 0, output)
+fleet.apply(site, 3, 3, zones)
 site:wait_version(3, 60000)
--- a/scenarios/relays_of_a_zone_killed.lua
+++ b/scenarios/relays_of_a_zone_killed.lua
@@ -1,16 +1,12 @@
 -- All relays of one zone die at once. The other nodes of the zone keep their
 -- configuration, get a newer one, and one of them takes the role.
 local mesh = require("mesh")
+local fleet = require("fleet")
 local site = mesh.new("qc-east")
-local examples = run.source .. "/examples/beaudoin/"
+local zones = { "qc-east-1", "qc-east-2", "qc-east-3" }
 for number = 1, 10 do
   site:add_node("node-" .. number, "qc-east-" .. (number - 1) % 2 + 1)
 end
-local function apply(reason)
-  local code, output = site:apply(examples .. "base.json",
-    examples .. "qc-east.json", "marie", reason)
-  assert(code == 0, output)
-end
 local function control(node)
   local status = site:status(node)
   return status and status.control or {}
@@ -29,7 +25,7 @@
   return true
 end
 
-apply("first configuration")
+fleet.apply(site, 3, 1, zones)
 site:wait_version(1, 30000)
 mesh.wait_until("every node knows every member", 30000, function()
   return all(function(state) return state.members == 10 end)
@@ -56,7 +52,7 @@
 assert(killed == 2)
 assert(all(function(state) return state.config_version == 1 end),
   "a node lost its configuration")
-apply("after the loss")
+fleet.apply(site, 3, 2, zones)
 mesh.wait_until("the next version in force on all others", 30000, function()
   return all(function(state) return state.config_version == 2 end)
 end)
--- a/scenarios/third_of_the_nodes_restarted.lua
+++ b/scenarios/third_of_the_nodes_restarted.lua
@@ -1,17 +1,13 @@
 -- A third of the nodes, with all relays of one zone, die at once and start
 -- again: all come back to the newest version and none goes back.
 local mesh = require("mesh")
+local fleet = require("fleet")
 local site = mesh.new("qc-east")
-local examples = run.source .. "/examples/beaudoin/"
+local zones = { "qc-east-1", "qc-east-2", "qc-east-3" }
 for number = 1, 12 do
   site:add_node("node-" .. number, "qc-east-" .. (number - 1) % 3 + 1)
 end
-local function apply(reason)
-  local code, output = site:apply(examples .. "base.json",
-    examples .. "qc-east.json", "marie", reason)
-  assert(code == 0, output)
-end
-apply("first")
+fleet.apply(site, 3, 1, zones)
 site:wait_version(1, 30000)
 local victims = {}
 for _, node in ipairs(site.nodes) do
@@ -19,7 +15,7 @@
 end
 for _, node in ipairs(victims) do signal(node.pid, mesh.SIGKILL) end
 for _, node in ipairs(victims) do wait_exit(node.pid, 10000) end
-apply("while they are gone")
+fleet.apply(site, 3, 2, zones)
 for _, node in ipairs(victims) do site:start_node(node) end
 mesh.wait_until("the newest version served everywhere", 60000, function()
   for _, node in ipairs(site.nodes) do
