--- a/libs/distribution/include/gentianlug/distribution/sync_messages.h
+++ b/libs/distribution/include/gentianlug/distribution/sync_messages.h
@@ -47,6 +47,8 @@
   config_version Version = 0;
   /// Newest version that the sender refused; it is not sent again.
   config_version Refused = 0;
+  /// Digest of the member table; 0 while news arrive, when the tables differ
+  /// anyway.
   std::uint64_t Digest = 0;
   /// Digests of the buckets of the member table, in the first poll of a peer;
   /// see `membership::bucket_digests`. Empty otherwise.
--- a/libs/distribution/src/node_state.cpp
+++ b/libs/distribution/src/node_state.cpp
@@ -150,11 +150,11 @@
     if (Held && !Held->supersedes(Record))
       Sent.insert(Record.Node);
   }
-  for (member_record &Record : Members.all())
-    if (Covered[membership::bucketOf(Record.Node)] &&
-        !Sent.count(Record.Node) &&
-        Record.State != membership::member_state::Left)
-      Outcome.Missing.push_back(std::move(Record));
+  Members.forEach([&](const member_record &Record) {
+    if (Record.State != membership::member_state::Left &&
+        Covered[membership::bucketOf(Record.Node)] && !Sent.count(Record.Node))
+      Outcome.Missing.push_back(Record);
+  });
 }
 
 void node_state::setOwn(member_record Own, steady_time Now) {
@@ -193,9 +193,10 @@
   }
   Update.Snapshot = true;
   auto Covered = coveredBuckets(Update);
-  for (member_record &Record : Members.all())
+  Members.forEach([&](const member_record &Record) {
     if (Covered[membership::bucketOf(Record.Node)])
-      Update.Members.push_back(std::move(Record));
+      Update.Members.push_back(Record);
+  });
 }
 
 state_update node_state::updateFor(const sync_request &Request) const {
--- a/libs/membership/include/gentianlug/membership/member_table.h
+++ b/libs/membership/include/gentianlug/membership/member_table.h
@@ -114,6 +114,16 @@
   /// Returns the digests of the buckets, each of 63 bits.
   const bucket_digests &buckets() const { return Buckets; }
 
+  /// Calls \p Visit with each record, by node.
+  template <class Visitor> void forEach(Visitor &&Visit) const {
+    for (const auto &[Node, Entry] : Entries)
+      Visit(Entry.Record);
+  }
+
+  /// Returns a number that rises whenever `serving` would return something
+  /// else, apart from sequences and parents, which routing does not use.
+  std::uint64_t routingGeneration() const { return RoutingGeneration; }
+
   /// Returns the nodes that are root relays by their own records.
   std::vector<member_record> roots() const;
 
@@ -146,6 +156,7 @@
   std::deque<node_id> Tombstones;
   bucket_digests Buckets{};
   std::size_t Live = 0;
+  std::uint64_t RoutingGeneration = 0;
 };
 
 } // namespace gentianlug::membership
--- a/libs/membership/src/member_table.cpp
+++ b/libs/membership/src/member_table.cpp
@@ -21,6 +21,21 @@
                 std::to_string(int(Record.State)));
 }
 
+static bool isRoutable(const member_record &Record) {
+  return Record.State == member_state::Serving ||
+         Record.State == member_state::Draining;
+}
+
+static bool differInRouting(const member_record &Old,
+                            const member_record &New) {
+  if (!isRoutable(Old) && !isRoutable(New))
+    return false;
+  member_record Same = New;
+  Same.Sequence = Old.Sequence;
+  Same.Parent = Old.Parent;
+  return !(Same == Old);
+}
+
 member_table::member_table(node_id Self, member_times Times)
     : Self(std::move(Self)), Times(Times) {}
 
@@ -36,6 +51,8 @@
   if (!Entry.Record.Node.empty())
     Digest ^= recordHash(Entry.Record);
   Digest ^= recordHash(Record);
+  if (differInRouting(Entry.Record, Record))
+    ++RoutingGeneration;
   if (!Entry.Record.Node.empty() && !isGone(Entry.Record))
     --Live;
   if (!isGone(Record))
@@ -152,8 +169,7 @@
 std::vector<member_record> member_table::serving() const {
   std::vector<member_record> Records;
   for (const auto &[Node, Entry] : Entries)
-    if (Entry.Record.State == member_state::Serving ||
-        Entry.Record.State == member_state::Draining)
+    if (isRoutable(Entry.Record))
       Records.push_back(Entry.Record);
   return Records;
 }
--- a/libs/node/src/control_listener.cpp
+++ b/libs/node/src/control_listener.cpp
@@ -100,12 +100,26 @@
   return false;
 }
 
+/// A child that was removed for a late poll comes back with its next one and
+/// keeps its cursor; only when its place is taken must it attach again.
+void control_listener::readmit(sync_request &Request) const {
+  peer_identity &From = Request.From;
+  const membership::member_record *Known =
+      Context.State.members().find(From.Node);
+  if (Request.Role != sync_role::Child || !Known ||
+      !From.Control.Host.empty() || Children.isLiveChild(From.Node))
+    return;
+  From.Zone = Known->Zone;
+  From.Incarnation = Known->Incarnation;
+  From.Control = Known->ControlAddress;
+}
+
 bool control_listener::needsResync(const sync_request &Request) {
   poller &Poller = Pollers[Request.From.Node];
   std::uint64_t Own = Context.State.members().digest();
   bool UpToDate = Request.Cursor == Context.State.head();
   bool Same = Request.Digest == Poller.Digest && Own == Poller.OwnDigest;
-  bool Differs = UpToDate && Request.Digest != Own;
+  bool Differs = UpToDate && Request.Digest != 0 && Request.Digest != Own;
   Poller.Differing = Differs && Same ? Poller.Differing + 1 : 0;
   Poller.Digest = Request.Digest;
   Poller.OwnDigest = Own;
@@ -131,6 +145,7 @@
   if (Polls.size() >= MaxWaitingPolls)
     return refuse(Exchange, 503, "too many waiting polls");
   steady_time Now = Context.now();
+  readmit(*Request);
   if (Request->Role == sync_role::Child && !Children.onPoll(*Request, Now))
     return refuse(Exchange, 410, "attach first");
   milliseconds Hold = Request->Role == sync_role::Child   ? ChildHold
--- a/libs/node/src/control_listener.h
+++ b/libs/node/src/control_listener.h
@@ -86,6 +86,7 @@
               const std::string &Reason);
   bool checkName(const net::http_exchange &Exchange,
                  const distribution::peer_identity &From);
+  void readmit(distribution::sync_request &Request) const;
   bool needsResync(const distribution::sync_request &Request);
   void answer(const waiting_poll &Poll);
   bool isDue(const distribution::sync_request &Request) const;
--- a/libs/node/src/control_task.cpp
+++ b/libs/node/src/control_task.cpp
@@ -99,8 +99,8 @@
   net::timer LeaveTimer;
   bool PublishPending = false;
   steady_time LastPublish{};
-  /// Whether the members changed since the last snapshot.
-  bool MembersChanged = false;
+  /// Generation of the members in the last snapshot.
+  std::uint64_t PublishedMembers = 0;
   /// Whether the startup gate has opened.
   bool Serving = false;
   routing_snapshot Snapshot;
@@ -345,11 +345,11 @@
   }
 
   std::size_t zoneSize() const {
-    std::vector<member_record> All = State.members().all();
-    return std::size_t(
-        std::count_if(All.begin(), All.end(), [this](const auto &Record) {
-          return Record.Zone == Settings.Zone;
-        }));
+    std::size_t Size = 0;
+    State.members().forEach([&](const member_record &Record) {
+      Size += Record.Zone == Settings.Zone ? 1 : 0;
+    });
+    return Size;
   }
 
   // The end.
@@ -398,13 +398,14 @@
     }
     if (Outcome.LiveChanged)
       decodeLive();
-    MembersChanged = MembersChanged || Outcome.MembersChanged;
     if (!Outcome.ConfigChanged && !Outcome.LiveChanged &&
         !Outcome.MembersChanged)
       return;
     Listener.onStateChanged();
     startup();
-    schedulePublish();
+    if (Outcome.ConfigChanged || Outcome.LiveChanged ||
+        State.members().routingGeneration() != PublishedMembers)
+      schedulePublish();
   }
 
   void schedulePublish() {
@@ -476,7 +477,8 @@
       noteInForce();
     if (Serving)
       Snapshot.Configuration = State.configuration();
-    if (std::exchange(MembersChanged, false))
+    if (std::exchange(PublishedMembers, State.members().routingGeneration()) !=
+        State.members().routingGeneration())
       Snapshot.Members = std::make_shared<const std::vector<member_record>>(
           State.members().serving());
     Outputs.Routing(std::make_shared<const routing_snapshot>(Snapshot));
@@ -503,7 +505,7 @@
       Own.State =
           Server.Draining ? member_state::Draining : member_state::Serving;
     publishOwn();
-    onChanged(membersChanged());
+    schedulePublish();
   }
 
   void checkServer() {
@@ -513,6 +515,7 @@
     Snapshot.Server.reset();
     Own.State = member_state::NoServer;
     publishOwn();
+    schedulePublish();
   }
 
   // Reports.
--- a/libs/node/src/parent_link.cpp
+++ b/libs/node/src/parent_link.cpp
@@ -138,7 +138,8 @@
   Request.Cursor = Cursor;
   Request.Version = Context.State.version();
   Request.Refused = Context.State.refusedVersion();
-  Request.Digest = Context.State.members().digest();
+  if (Quiet)
+    Request.Digest = Context.State.members().digest();
   tree_report Report = Outputs.Report();
   bool First = Cursor == log_cursor{};
   if (First || Report != SentReport)
@@ -174,6 +175,7 @@
     Cursor.Epoch = Response->Update.Cursor.Epoch;
   if (Response->Resync)
     Cursor = {};
+  Quiet = Response->Update.empty();
   std::vector<node_id> Before = Attachment.parentPath();
   Attachment.onPollAnswer(Response->Path ? *Response->Path : Before,
                           Context.now(), Context.Gen);
--- a/libs/node/src/parent_link.h
+++ b/libs/node/src/parent_link.h
@@ -77,6 +77,8 @@
   std::uint64_t Generation = 0;
   distribution::log_cursor Cursor;
   distribution::tree_report SentReport;
+  /// Whether the last answer had no news.
+  bool Quiet = false;
   /// Nodes whose records wait to be sent up.
   std::map<node_id, membership::member_record> Pending;
   bool UpUnderWay = false;
--- a/libs/wire/src/control_messages.cpp
+++ b/libs/wire/src/control_messages.cpp
@@ -237,12 +237,14 @@
     Json["role"] = RoleNames[unsigned(Request.Role)];
   if (Request.Cut)
     Json["cut"] = true;
-  Json["epoch"] = Request.Cursor.Epoch;
+  if (Request.Cursor.Epoch)
+    Json["epoch"] = Request.Cursor.Epoch;
   Json["number"] = Request.Cursor.Number;
   Json["config"] = Request.Version;
   if (Request.Refused)
     Json["refused"] = Request.Refused;
-  Json["digest"] = Request.Digest;
+  if (Request.Digest)
+    Json["digest"] = Request.Digest;
   if (!Request.Buckets.empty())
     Json["buckets"] = Request.Buckets;
   if (Request.Report)
@@ -250,13 +252,17 @@
   return Json.dump();
 }
 
-static part_patch readPatch(object_reader &Reader) {
-  part_patch Patch;
-  Patch.Name = Reader.text("name");
-  Patch.KeepFront = detail::readUnsigned(Reader, "front", 0);
-  Patch.KeepBack = detail::readUnsigned(Reader, "back", 0);
-  Patch.Insert = Reader.text("insert", "");
-  return Patch;
+/// Reads a patch of the form [name, front, back, insert].
+static part_patch readPatch(const json &Json, settings::fault_list &Faults,
+                            const std::string &Path) {
+  bool Formed = Json.is_array() && Json.size() == 4 && Json[0].is_string() &&
+                Json[1].is_number_unsigned() && Json[2].is_number_unsigned() &&
+                Json[3].is_string();
+  if (Formed)
+    return {Json[0].get<std::string>(), Json[1].get<std::size_t>(),
+            Json[2].get<std::size_t>(), Json[3].get<std::string>()};
+  Faults.add(Path, "must hold patches of the form [name, front, back, insert]");
+  return {};
 }
 
 static config_update readConfig(object_reader &Reader) {
@@ -264,7 +270,10 @@
   Update.Version = detail::readUnsigned(Reader, "version");
   Update.RootHash = Reader.text("root");
   Update.Base = detail::readUnsigned(Reader, "base", 0);
-  Update.Changed = detail::readList(Reader, "changed", readPatch);
+  if (const json *Changed = Reader.array("changed"))
+    for (const json &Patch : *Changed)
+      Update.Changed.push_back(
+          readPatch(Patch, Reader.faults(), Reader.pathOf("changed")));
   for (node_id &Name : readNodes(Reader, "removed"))
     Update.Removed.push_back(std::move(Name.Value));
   return Update;
@@ -275,10 +284,8 @@
   if (Update.Base)
     Json["base"] = Update.Base;
   for (const part_patch &Patch : Update.Changed)
-    Json["changed"].push_back({{"name", Patch.Name},
-                               {"front", Patch.KeepFront},
-                               {"back", Patch.KeepBack},
-                               {"insert", Patch.Insert}});
+    Json["changed"].push_back(json::array(
+        {Patch.Name, Patch.KeepFront, Patch.KeepBack, Patch.Insert}));
   for (const std::string &Name : Update.Removed)
     Json["removed"].push_back(Name);
   return Json;
--- a/standins/members_main.cpp
+++ b/standins/members_main.cpp
@@ -1,5 +1,5 @@
 #include "gentianlug/core/clock.h"
-#include "gentianlug/membership/member_table.h"
+#include "gentianlug/distribution/node_state.h"
 #include "gentianlug/net/http_client.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/wire/control_messages.h"
@@ -28,19 +28,33 @@
   std::size_t Services = 1;
 };
 
+/// Every node below this one is alive.
+struct all_alive final : child_watch {
+  bool isLiveChild(const node_id &) const override { return true; }
+};
+
 /// Speaks the control protocol as one node with many nodes below it, so that a
 /// test has a fleet of the design size on one machine.
 class member_crowd {
 public:
-  member_crowd(net::event_loop &Loop, members_settings Settings)
-      : Settings(std::move(Settings)), Client(Loop),
-        Retry(Loop, [this] { attach(this->Settings.Relay); }) {}
+  member_crowd(net::event_loop &Loop, members_settings S)
+      : Settings(std::move(S)), Client(Loop),
+        Retry(Loop, [this] { attach(Settings.Relay); }),
+        State(Settings.Self.Node, Settings.Self.Incarnation) {
+    State.watchChildren(&Children);
+    std::vector<membership::member_record> Records;
+    for (std::size_t Index = 1; Index <= Settings.Count; ++Index)
+      Records.push_back(record(Index));
+    State.applyMembers(Records, update_source::Below, Clock.steadyNow());
+  }
 
   void start() { attach(Settings.Relay); }
 
 private:
+  using next_step = std::function<void(const std::string &)>;
+
   void post(const address &Target, const std::string &Path, std::string Body,
-            std::function<void(const std::string &)> Done) {
+            next_step Done) {
     net::http_request Request;
     Request.Method = "POST";
     Request.Target = Path;
@@ -64,8 +78,11 @@
            if (Response->Verdict == verdict::Redirected)
              return attach(Response->RedirectTo);
            Parent = Target;
-           ParentName = Response->Path.back();
-           announce(0);
+           Cursor = {};
+           membership::member_record Own = record(0);
+           Own.Parent = Response->Path.back();
+           State.setOwn(Own, Clock.steadyNow());
+           poll();
          });
   }
 
@@ -77,7 +94,6 @@
     Record.ControlAddress = Settings.Self.Control;
     Record.Incarnation = Settings.Self.Incarnation;
     Record.Sequence = 1;
-    Record.Parent = ParentName;
     if (Index == 0)
       return Record;
     Record.Parent = Record.Node;
@@ -91,47 +107,53 @@
     return Record;
   }
 
-  void announce(std::size_t First) {
-    if (First > Settings.Count)
-      return poll({});
+  /// Sends the records that the parent lacks, then polls.
+  void sendUp(const std::vector<membership::member_record> &Records,
+              std::size_t First) {
+    if (First >= Records.size())
+      return poll();
     up_message Message{Settings.Self, {}};
-    std::size_t End = std::min(First + RecordsPerMessage, Settings.Count + 1);
-    for (std::size_t Index = First; Index < End; ++Index)
-      Message.Members.push_back(record(Index));
+    std::size_t End = std::min(First + RecordsPerMessage, Records.size());
+    Message.Members.assign(Records.begin() + std::ptrdiff_t(First),
+                           Records.begin() + std::ptrdiff_t(End));
     post(Parent, "/v1/up", wire::encode(Message),
-         [this, End](const std::string &) { announce(End); });
+         [this, Records, End](const std::string &) { sendUp(Records, End); });
   }
 
-  /// Keeps the place below the parent; the answers need no other action.
-  void poll(log_cursor Cursor) {
+  void poll() {
     sync_request Request;
     Request.From = Settings.Self;
     Request.Cursor = Cursor;
     // The configuration is never needed here.
     Request.Refused = INT64_MAX;
-    Request.Digest = Table.digest();
+    Request.Digest = State.members().digest();
+    const auto &Buckets = State.members().buckets();
+    if (Cursor == log_cursor{})
+      Request.Buckets.assign(Buckets.begin(), Buckets.end());
     post(Parent, "/v1/sync", wire::encode(Request),
-         [this, Cursor](const std::string &Body) {
+         [this](const std::string &Body) {
            auto Response = wire::decodeSyncResponse(Body);
            if (!Response)
              return Retry.startOnce(RetryDelay);
-           for (const auto &Record : Response->Update.Members)
-             Table.apply(Record, Clock.steadyNow());
-           log_cursor Next = Response->Update.Cursor;
-           if (Next.Epoch == 0)
-             Next.Epoch = Cursor.Epoch;
-           poll(Next);
+           Cursor.Number = Response->Update.Cursor.Number;
+           if (Response->Update.Cursor.Epoch)
+             Cursor.Epoch = Response->Update.Cursor.Epoch;
+           if (Response->Resync)
+             Cursor = {};
+           update_outcome Outcome = State.apply(
+               Response->Update, update_source::Above, Clock.steadyNow());
+           sendUp(Outcome.Missing, 0);
          });
   }
 
   members_settings Settings;
   net::http_client Client;
   net::timer Retry;
-  address Parent;
-  node_id ParentName;
   gentianlug::system_clock Clock;
-  /// For the digest, so that the parent sees an ordinary child.
-  membership::member_table Table{node_id("nobody")};
+  all_alive Children;
+  node_state State;
+  address Parent;
+  log_cursor Cursor;
 };
 
 result<members_settings> parseMembersSettings(const nlohmann::json &Json) {
