--- a/scenarios/call_ids_differ.lua
+++ b/scenarios/call_ids_differ.lua
@@ -12,8 +12,13 @@
 site:wait_version(1, 30000)
 
 local seen = {}
--- No server is needed: refusals carry the call id too.
+-- No server is needed: refusals carry the call id too, once the entry side has
+-- the configuration, which follows its acceptance by the control task.
 local function check_ids(node)
+  mesh.wait_until("calls of " .. node.name .. " are routed", 30000, function()
+    local _, _, headers = http("POST", node.caller, "/commandes", "pot")
+    return headers ~= nil and headers["gl-call-id"] ~= nil
+  end)
   for _ = 1, 10 do
     local _, body, headers = http("POST", node.caller, "/commandes", "pot")
     local id = headers and headers["gl-call-id"]
