--- a/libs/node/src/proxy_task.cpp
+++ b/libs/node/src/proxy_task.cpp
@@ -13,12 +13,16 @@
 
 static constexpr milliseconds ReportPeriod{1000};
 
-/// After a stop request the node still takes calls for this time, in which
-/// other nodes learn that it is draining.
-static constexpr milliseconds DrainNotice{1000};
+/// The stop request comes when the control task has reported toward the root
+/// that the node drains. The node still takes calls for this time, in which
+/// the other nodes learn of it.
+static constexpr milliseconds DrainNotice{500};
 /// Then it refuses calls and stays at least this long, for peers that learn
 /// late: a refusal is safe to retry, a closed connection may not be.
 static constexpr milliseconds RefusalTime{500};
+/// Time between the end of listening and the exit, in which requests that are
+/// on their way on open connections are still refused.
+static constexpr milliseconds ClosingTime{200};
 /// Bound on the whole stop beyond the longest deadline of a route.
 static constexpr milliseconds StopReserve{2000};
 
@@ -31,8 +35,10 @@
   Announcing,
   /// Refuses new calls.
   Refusing,
-  /// Stops as soon as no call is under way.
+  /// Ends as soon as no call is under way.
   Finishing,
+  /// Listens no more and waits for the exit.
+  Closing,
 };
 
 } // namespace
@@ -128,20 +134,24 @@
                                         StopDeadline - Clock.steadyNow())));
       return stopIfIdle();
     case stop_phase::Finishing:
-      return finishStop();
+      return closeListeners();
+    case stop_phase::Closing:
+      Outputs.Drained();
+      return Loop.stop();
     }
   }
 
   void stopIfIdle() {
     if (Phase == stop_phase::Finishing &&
         Entry.callsInFlight() + Serving.callsInFlight() == 0)
-      finishStop();
+      closeListeners();
   }
 
-  void finishStop() {
+  void closeListeners() {
+    Phase = stop_phase::Closing;
     Callers.stopListening();
-    Outputs.Drained();
-    Loop.stop();
+    Peers.stopListening();
+    StopTimer.startOnce(ClosingTime);
   }
 };
 
