--- a/libs/rollout/include/gentianlug/rollout/sequential_verdict.h
+++ b/libs/rollout/include/gentianlug/rollout/sequential_verdict.h
@@ -16,7 +16,7 @@
 /// A rise of the error rate up to this is no fault.
 inline constexpr double HarmlessErrorRise = 0.01;
 /// A rise of the error rate from this on is a fault that must be found.
-inline constexpr double FaultyErrorRise = 0.2;
+inline constexpr double FaultyErrorRise = 0.3;
 /// A latency up to this factor is no fault; it is two latency buckets.
 inline constexpr double HarmlessLatencyFactor = 2;
 /// Latencies below this are no fault: the queueing noise of a busy VM reaches
