Keep the queue in front of a cold server short

Up to 20 calls waited in front of a server that bore one call. Their latency made entry nodes eject the server, and it got no calls for a second while it warmed up. The bound of the queue now follows the allowance.

--- a/bench/experiments/cold_start.lua
+++ b/bench/experiments/cold_start.lua
@@ -20,7 +20,7 @@
 end
 
 -- Follows one server until the end of its turn. Returns the time after the
--- restart at which it first carried 90% of its share over a whole window.
+-- restart from which on it carried 90% of its share over a whole window.
 local function follow(server, share_per_ms, restarted, turn_end)
   local samples, full = {}, nil
   while now_ms() < turn_end do
@@ -35,7 +35,7 @@
       local span = first and last[1] - first[1] or 0
       if not full and span >= WINDOW_MS and
         last[2] - first[2] >= 0.9 * share_per_ms * span then
-        full = last[1] - restarted
+        full = first[1] - restarted
       end
     end
     sleep_ms(STEP_MS)
@@ -94,6 +94,8 @@
   full_share_ratio = longest / fastest,
   full_share_ms = longest,
   p99_ms = result.p99_ms,
+  not_run = result.not_run,
+  wrong = result.wrong,
   baseline_calls_lost = caller.lost(bare_result),
   baseline_fell_over = serving.sum(bare, "fell_over"),
 })
--- a/libs/admission/src/admission_control.cpp
+++ b/libs/admission/src/admission_control.cpp
@@ -26,7 +26,6 @@
   incarnation_number Latest = std::max(Next.Incarnation, Capacity.Incarnation);
   Capacity = Next;
   Capacity.Incarnation = Latest;
-  Queue.setBound(Capacity.QueueLength);
   if (NewLife || NewSize)
     restartCold(Now);
 }
@@ -55,6 +54,16 @@
   return Started.empty() ? microseconds(0) : Baseline.needed(Route);
 }
 
+/// Calls that may wait. The bound shrinks with the square of the allowance: a
+/// server at a part of its allowance is slower in the same proportion, and a
+/// long wait in front of it would make it look broken to other nodes.
+std::size_t admission_control::queueBound() const {
+  double Part = double(limit()) / Capacity.Slots;
+  auto Scaled = std::size_t(Capacity.QueueLength * Part * Part);
+  return std::min<std::size_t>(Capacity.QueueLength,
+                               std::max<std::size_t>(1, Scaled));
+}
+
 void admission_control::offer(const offered_call &Call, steady_time Now) {
   microseconds Needed = neededTime(Call.Route);
   auto Rounds = std::int64_t(Queue.size() / limit());
@@ -65,12 +74,10 @@
   }
   // A call that can start at once needs no place in the queue.
   bool Free = Queue.size() == 0 && inFlight() < limit();
-  if (Free)
-    Queue.setBound(std::max<std::size_t>(1, Capacity.QueueLength));
+  Queue.setBound(Free ? 1 : queueBound());
   auto Shed = Queue.push({Call.Ticket, Call.Customer, Call.Route, Call.Priority,
                           Call.Deadline, Call.Deadline - Needed},
                          Shares);
-  Queue.setBound(Capacity.QueueLength);
   if (Shed)
     Refused.push_back(
         {admission_action::kind::Refuse, *Shed, refusal_reason::QueueFull});
--- a/libs/node/src/serving_proxy.cpp
+++ b/libs/node/src/serving_proxy.cpp
@@ -475,6 +475,10 @@
 
   void sendEvidence() {
     EvidenceDue = false;
+    Context.Metrics.gauge("gentianlug_server_limit", Admission.limit());
+    Context.Metrics.gauge("gentianlug_server_in_flight", Admission.inFlight());
+    Context.Metrics.gauge("gentianlug_server_queued",
+                          double(Admission.queued()));
     const wire::server_announcement *Server = Local.lastServer();
     if (Evidence.empty() || !Server)
       return;
