--- a/libs/rollout/include/gentianlug/rollout/steering_notice.h
+++ b/libs/rollout/include/gentianlug/rollout/steering_notice.h
@@ -24,6 +24,8 @@
   address Controller;
   /// Whether the controller holds its lease now.
   bool Held = false;
+  /// See `verdict_policy::oldErrorRate`; for the local guards.
+  double OldErrorRate = 1;
   /// Why servers of the new version get no more calls; "" lets them have some.
   std::string CutReason;
 
--- a/libs/rollout/src/rollout_controller.cpp
+++ b/libs/rollout/src/rollout_controller.cpp
@@ -165,7 +165,6 @@
                                                 : rollout_phase::Growing;
     Next.Share = Pace.Share;
     Next.NonIdempotentShare = nonIdempotentShare(Pace.Share);
-    Next.OldErrorRate = Verdict->oldErrorRate();
     return Next;
   }
 
@@ -315,6 +314,10 @@
   Impl->NextOperation = Now.Steady + RetryDelay;
 }
 
+double rollout_controller::oldErrorRate() const {
+  return Impl->Verdict->oldErrorRate();
+}
+
 bool rollout_controller::decided() const { return Impl->decided(); }
 
 std::string rollout_controller::cutReason(steady_time Now) const {
--- a/libs/wire/src/rollout_values.cpp
+++ b/libs/wire/src/rollout_values.cpp
@@ -35,7 +35,6 @@
       std::uint32_t(Reader.number("controllers", 0, UINT32_MAX, 0));
   State.ConfigVersion =
       std::uint64_t(Reader.number("config_version", 0, INT64_MAX, 0));
-  State.OldErrorRate = Reader.fraction("old_error_rate", 0, 1, 0);
   State.Reason = Reader.text("reason", "");
   State.WriteId = Reader.text("write_id", "");
   return State;
@@ -58,7 +57,6 @@
       {"controller", State.Controller.Port == 0 ? "" : State.Controller.str()},
       {"controllers", State.Controllers},
       {"config_version", State.ConfigVersion},
-      {"old_error_rate", State.OldErrorRate},
       {"reason", State.Reason},
       {"write_id", State.WriteId}}
       .dump();
@@ -137,6 +135,7 @@
   Notice.Epoch = detail::readUnsigned(Reader, "epoch");
   Notice.Controller = Reader.endpoint("controller");
   Notice.Held = Reader.flag("held", false);
+  Notice.OldErrorRate = Reader.fraction("old_error_rate", 0, 1);
   Notice.CutReason = Reader.text("cut_reason", "");
   return Notice;
 }
@@ -147,9 +146,10 @@
 
 std::string encode(const rollout::steering_notice &Notice) {
   return json{
-      {"rollout", Notice.RolloutId}, {"service", Notice.Service.str()},
-      {"epoch", Notice.Epoch},       {"controller", Notice.Controller.str()},
-      {"held", Notice.Held},         {"cut_reason", Notice.CutReason}}
+      {"rollout", Notice.RolloutId},   {"service", Notice.Service.str()},
+      {"epoch", Notice.Epoch},         {"controller", Notice.Controller.str()},
+      {"held", Notice.Held},           {"old_error_rate", Notice.OldErrorRate},
+      {"cut_reason", Notice.CutReason}}
       .dump();
 }
 
