Never call an order unknown that an earlier life may have run

The ledger of a node is lost when the node is killed. Its next life told an entry node that an order was unknown, although the order could have reached the server before the kill, and the entry node sent it again. The question about a call now states the age of its last attempt; a node that is younger than that gives no state.

--- a/libs/node/include/gentianlug/node/call_headers.h
+++ b/libs/node/include/gentianlug/node/call_headers.h
@@ -18,6 +18,10 @@
 inline constexpr const char *LoadHeader = "gl-load";
 inline constexpr const char *NoRetryHeader = "gl-no-retry";
 
+/// Field of a question about a call: milliseconds since its last attempt was
+/// sent. A serving node that is younger than that cannot know the call.
+inline constexpr const char *AttemptAgeHeader = "gl-attempt-age-ms";
+
 // Header field of the reply to `GET /v1/call/ID`, with status 200. The reply in
 // state answered has the headers and the body of the recorded answer. In state
 // unknown-id the serving node has marked the id as refused.
--- a/libs/node/src/entry_call.cpp
+++ b/libs/node/src/entry_call.cpp
@@ -313,6 +313,10 @@
   Request.Target = CallStatePath + Details.Stated.Id.str();
   // Only this try is given up when it is unknown; the next one may run.
   Request.Headers.add(AttemptHeader, std::to_string(Try->Number));
+  // One more millisecond covers the rounding.
+  auto Age =
+      std::chrono::duration_cast<milliseconds>(State.now() - Try->Started);
+  Request.Headers.add(AttemptAgeHeader, std::to_string(Age.count() + 1));
   Question = State.Client.send(
       Try->Peer, Request, std::min(Left, QuestionTimeout),
       [Self = shared_from_this(), Try](result<net::http_response> Reply) {
--- a/libs/node/src/serving_call.cpp
+++ b/libs/node/src/serving_call.cpp
@@ -35,6 +35,13 @@
   return number(Request, AttemptHeader, Missing);
 }
 
+std::chrono::milliseconds readAttemptAge(const net::http_request &Request) {
+  constexpr std::chrono::milliseconds Oldest =
+      admission::ledger_bounds().KeepTime;
+  return std::chrono::milliseconds(
+      number(Request, AttemptAgeHeader, std::uint32_t(Oldest.count())));
+}
+
 call_details readCallDetails(const net::http_request &Request) {
   call_details Details;
   Details.Id = call_id(text(Request, CallIdHeader));
--- a/libs/node/src/serving_call.h
+++ b/libs/node/src/serving_call.h
@@ -28,6 +28,10 @@
 std::uint32_t readAttempt(const net::http_request &Request,
                           std::uint32_t Missing);
 
+/// Reads the age of the last attempt from a question. Without the field the
+/// attempt may be as old as the ledger remembers calls.
+std::chrono::milliseconds readAttemptAge(const net::http_request &Request);
+
 /// A call at the serving node, until its answer has been passed on.
 struct serving_call {
   call_details Details;
--- a/libs/node/src/serving_proxy.cpp
+++ b/libs/node/src/serving_proxy.cpp
@@ -56,6 +56,7 @@
   std::unordered_map<call_ticket, std::unique_ptr<serving_call>> Calls;
   std::unordered_map<call_id, call_ticket> Tickets;
   call_ticket NextTicket = 1;
+  steady_time Started = Context.Clock.steadyNow();
   bool Draining = false;
 
   impl(context C, outputs O)
@@ -210,6 +211,10 @@
     call_ledger::state State = Tickets.count(Id)
                                    ? call_ledger::state::Running
                                    : Ledger.ask(Id, Attempt, now());
+    if (State == call_ledger::state::Refused &&
+        now() - readAttemptAge(Exchange.request()) <= Started)
+      return Exchange.reply(net::errorResponse(
+          503, "the call may have run in an earlier life of this node"));
     switch (State) {
     case call_ledger::state::Started:
     case call_ledger::state::Running:
--- a/scenarios/order_repeated_after_lost_answer.lua
+++ b/scenarios/order_repeated_after_lost_answer.lua
@@ -12,7 +12,8 @@
 end
 
 local function ask(id)
-  local status, body, headers = http("GET", node.peer, "/v1/call/" .. id)
+  local status, body, headers = http("GET", node.peer, "/v1/call/" .. id, "",
+    { ["gl-attempt-age-ms"] = "100" })
   assert(status == 200, body)
   return headers["gl-call-state"], body, headers
 end
@@ -37,6 +38,12 @@
 assert(status == 200 and body == "answer to one glue pot")
 assert(headers["gl-call-id"] == "lost")
 
+-- A node that may have forgotten the call in a restart does not call it
+-- unknown: the order may have run.
+status = http("GET", node.peer, "/v1/call/older", "",
+  { ["gl-attempt-age-ms"] = "3000000" })
+assert(status == 503, status)
+
 -- An id that is called unknown is refused from then on.
 assert(ask("late") == "unknown-id")
 status, body, headers = order("late", 5000)
