--- a/libs/admission/include/gentianlug/admission/admission_control.h
+++ b/libs/admission/include/gentianlug/admission/admission_control.h
@@ -106,7 +106,7 @@
   };
 
   void onIncarnation(incarnation_number Seen, steady_time Now);
-  std::size_t queueBound() const;
+  std::size_t queueBound(steady_time Now) const;
   std::chrono::microseconds neededTime(const route_name &Route) const;
 
   std::unique_ptr<limit_policy> Limit;
--- a/libs/admission/src/admission_control.cpp
+++ b/libs/admission/src/admission_control.cpp
@@ -54,10 +54,13 @@
   return Started.empty() ? microseconds(0) : Baseline.needed(Route);
 }
 
-/// Calls that may wait. The bound shrinks with the square of the allowance: a
-/// server at a part of its allowance is slower in the same proportion, and a
-/// long wait in front of it would make it look broken to other nodes.
-std::size_t admission_control::queueBound() const {
+/// Calls that may wait. While the server is cold the bound shrinks with the
+/// square of the allowance: a server at a part of its allowance is slower in
+/// the same proportion, and a long wait in front of it would make it look
+/// broken to other nodes.
+std::size_t admission_control::queueBound(steady_time Now) const {
+  if (ColdStart.warm(Now))
+    return Capacity.QueueLength;
   double Part = double(limit()) / Capacity.Slots;
   auto Scaled = std::size_t(Capacity.QueueLength * Part * Part);
   return std::min<std::size_t>(Capacity.QueueLength,
@@ -74,7 +77,7 @@
   }
   // A call that can start at once needs no place in the queue.
   bool Free = Queue.size() == 0 && inFlight() < limit();
-  Queue.setBound(Free ? 1 : queueBound());
+  Queue.setBound(Free ? 1 : queueBound(Now));
   auto Shed = Queue.push({Call.Ticket, Call.Customer, Call.Route, Call.Priority,
                           Call.Deadline, Call.Deadline - Needed},
                          Shares);
--- a/libs/admission/tests/admission_control_test.cpp
+++ b/libs/admission/tests/admission_control_test.cpp
@@ -92,6 +92,18 @@
   CHECK_EQUAL(20U, Admission.queued());
 }
 
+// Guards against a small allowance that low load has left behind, and that
+// refuses a burst at a warm server.
+TEST(admission_control, AQuietServerQueuesABurst) {
+  Clock.advance(milliseconds(3000));
+  for (int Call = 0; Call < 21; ++Call)
+    offer();
+  CHECK_EQUAL(0, Refusals);
+  for (int Round = 0; Round < 8; ++Round)
+    finishAll(milliseconds(5));
+  CHECK_EQUAL(0U, Admission.queued());
+}
+
 // Guards against a late answer of an earlier life that starts cold again.
 TEST(admission_control, AnEarlierIncarnationChangesNothing) {
   warmUp();
