Give swapped answers to the calls that they name

An answer went to the call whose connection it came on.

The serving node now compares the call id of the answer. A foreign answer goes to the call that it names, and the call on whose connection it came waits up to a second for its own. The server stand-in echoes the call id and can swap answers.

--- a/bench/experiments/at_most_once.lua
+++ b/bench/experiments/at_most_once.lua
@@ -1,5 +1,5 @@
--- Orders under killed nodes and servers, silent connections, late answers and
--- planned stops. Servers append each order that starts to run to a file, which
+-- Orders under killed nodes and servers, silent connections, late and swapped
+-- answers, and planned stops. Servers append each order that starts to run to a file, which
 -- outlives them, so that the counts are complete.
 local mesh = require("mesh")
 local caller = require("caller")
@@ -10,6 +10,8 @@
 -- One answer in a hundred comes 600 ms late, after the entry node has begun to
 -- ask for the call.
 local late = { kind = "slow", rate = 0.01, slow_factor = 60 }
+-- Other servers send some answers on each other's connections.
+local swapped = { kind = "swap_answers", rate = 0.05 }
 local examples = run.source .. "/examples/beaudoin/"
 
 local site = mesh.new("qc-east")
@@ -32,7 +34,8 @@
       listen = relay.listen, to = node.peer, admin = relay.admin })
   end
   site:add_server(node, "commandes", { work_ms = 10, warm_up_ms = 300,
-    ran_file = run.folder .. "/ran-" .. number, fault = late })
+    ran_file = run.folder .. "/ran-" .. number,
+    fault = number % 2 == 0 and swapped or late })
   nodes[number] = node
 end
 local code, output = site:apply(examples .. "base.json",
--- a/libs/node/src/answer_relay.cpp
+++ b/libs/node/src/answer_relay.cpp
@@ -15,4 +15,11 @@
   return Reader.sendPart(Collected) > MaxWaitingBytes;
 }
 
+void answer_relay::collect(std::string_view Part) {
+  if (Answer->Body.size() + Part.size() > MaxCollectedBytes)
+    Overflowed = true;
+  else
+    Answer->Body += Part;
+}
+
 } // namespace gentianlug::node
--- a/libs/node/src/answer_relay.h
+++ b/libs/node/src/answer_relay.h
@@ -27,6 +27,13 @@
   /// \returns whether the server must not be read for now.
   bool onPart(std::string_view Part, const net::http_exchange &Reader);
 
+  /// Adds one part of the body of an answer that must not stream. A part that
+  /// makes it too large makes the answer incomplete.
+  void collect(std::string_view Part);
+
+  /// Returns whether a collected answer has all its parts.
+  bool complete() const { return Answer.has_value() && !Overflowed; }
+
   /// Returns whether the answer has been started as a stream.
   bool streaming() const { return Streaming; }
   bool hasHead() const { return Answer.has_value(); }
@@ -38,6 +45,7 @@
 private:
   std::optional<net::http_response> Answer;
   bool Streaming = false;
+  bool Overflowed = false;
 };
 
 } // namespace gentianlug::node
--- a/libs/node/src/serving_call.h
+++ b/libs/node/src/serving_call.h
@@ -5,6 +5,7 @@
 #include "gentianlug/admission/admission_control.h"
 #include "gentianlug/admission/call_ledger.h"
 #include "gentianlug/net/http_server.h"
+#include "gentianlug/net/timer.h"
 
 namespace gentianlug::node {
 
@@ -44,6 +45,9 @@
   /// The call was handed to the connection to the server.
   bool Sent = false;
   answer_relay Relay;
+  /// Runs while the connection of the call has ended with the answer to another
+  /// call and its own answer may still come on that other connection.
+  std::unique_ptr<net::timer> StrayTimer;
 };
 
 admission::recorded_answer toRecord(const net::http_response &Answer);
--- a/libs/node/src/serving_proxy.cpp
+++ b/libs/node/src/serving_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include "evidence_collector.h"
 #include "gentianlug/admission/gradient_limit.h"
+#include "gentianlug/net/event_loop.h"
 #include "gentianlug/net/net_errc.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/node/call_headers.h"
@@ -28,6 +29,9 @@
 /// can be recorded for a caller that asks again.
 static constexpr milliseconds RecordGrace{5000};
 static constexpr milliseconds EvidencePeriod{250};
+/// Time for the answer to a call to come on the connection of another call,
+/// after the answers have been swapped.
+static constexpr milliseconds StrayTime{1000};
 /// Shortest delay of the timer that drops calls from the queue.
 static constexpr std::chrono::microseconds ShortestDelay{200};
 
@@ -55,6 +59,8 @@
   bool EvidenceDue = false;
   std::unordered_map<call_ticket, std::unique_ptr<serving_call>> Calls;
   std::unordered_map<call_id, call_ticket> Tickets;
+  /// Answers to other calls than those that their connections carried.
+  std::unordered_map<call_ticket, answer_relay> Strays;
   call_ticket NextTicket = 1;
   steady_time Started = Context.Clock.steadyNow();
   bool Draining = false;
@@ -284,7 +290,21 @@
          [this, Ticket](result<void> End) { onEnd(Ticket, std::move(End)); }});
   }
 
+  /// Returns whether \p Head answers the call that its connection carried. An
+  /// answer without an id counts as such.
+  bool isOwnAnswer(call_ticket Ticket, const net::http_response &Head) const {
+    auto Entry = Calls.find(Ticket);
+    const std::string *Id = Head.Headers.find(CallIdHeader);
+    return Entry != Calls.end() &&
+           (!Id || *Id == Entry->second->Details.Id.str());
+  }
+
   void onHead(call_ticket Ticket, net::http_response Head) {
+    if (!isOwnAnswer(Ticket, Head)) {
+      logEvent(event::AnswerMismatched, Local.describe());
+      Strays[Ticket].onHead(std::move(Head));
+      return;
+    }
     serving_call &Call = *Calls.at(Ticket);
     Admission.onFirstByte(Ticket, now());
     Head.Headers.erase("Connection");
@@ -294,6 +314,8 @@
   }
 
   void onPart(call_ticket Ticket, std::string_view Part) {
+    if (auto Stray = Strays.find(Ticket); Stray != Strays.end())
+      return Stray->second.collect(Part);
     serving_call &Call = *Calls.at(Ticket);
     bool WasStreaming = Call.Relay.streaming();
     const net::http_exchange &Reader = Call.Exchanges.front();
@@ -305,6 +327,50 @@
   }
 
   void onEnd(call_ticket Ticket, result<void> End) {
+    auto Stray = Strays.find(Ticket);
+    if (End && Stray != Strays.end()) {
+      answer_relay Answer = std::move(Stray->second);
+      Strays.erase(Stray);
+      onStray(Ticket, std::move(Answer));
+      return;
+    }
+    Strays.erase(Ticket);
+    if (Calls.count(Ticket))
+      conclude(Ticket, std::move(End));
+  }
+
+  /// Gives an answer to the call that it names; the call whose connection it
+  /// came on waits for its own.
+  void onStray(call_ticket Ticket, answer_relay Answer) {
+    if (auto Own = Calls.find(Ticket); Own != Calls.end()) {
+      Own->second->StrayTimer = std::make_unique<net::timer>(
+          Context.Loop, [this, Ticket] { onStrayTimeout(Ticket); });
+      Own->second->StrayTimer->startOnce(StrayTime);
+    }
+    const std::string *Id = Answer.answer().Headers.find(CallIdHeader);
+    auto Named = Id ? Tickets.find(call_id(*Id)) : Tickets.end();
+    if (Named == Tickets.end() || !Answer.complete())
+      return;
+    call_ticket Owner = Named->second;
+    serving_call &Call = *Calls.at(Owner);
+    if (!Call.Sent || Call.Relay.hasHead())
+      return;
+    describe(Answer.answer(), Call.Details.Id, OutcomeAnswered);
+    Call.Relay = std::move(Answer);
+    conclude(Owner, {});
+  }
+
+  void onStrayTimeout(call_ticket Ticket) {
+    serving_call &Call = *Calls.at(Ticket);
+    // The timer is running this function.
+    Context.Loop.defer(
+        [Kept = std::shared_ptr<net::timer>(std::move(Call.StrayTimer))] {});
+    conclude(Ticket, makeError(net::net_errc::ConnectionLost,
+                               "the server answered another call"));
+  }
+
+  /// Ends a call with the answer of its relay or with an error.
+  void conclude(call_ticket Ticket, result<void> End) {
     std::unique_ptr<serving_call> Call = take(Ticket);
     const call_details &Details = Call->Details;
     bool NoByteSent = !End && End.failure().Code ==
@@ -369,7 +435,8 @@
     auto Entry = Calls.find(Ticket);
     if (Entry == Calls.end() || --Entry->second->Present > 0)
       return;
-    if (!Entry->second->Details.Idempotent && Link.transmitted(Ticket)) {
+    bool MayRun = Link.transmitted(Ticket) || Entry->second->StrayTimer;
+    if (!Entry->second->Details.Idempotent && MayRun) {
       // It goes on, so that its answer can be recorded.
       Link.resume(Ticket);
       return;
--- a/standins/backend_server.cpp
+++ b/standins/backend_server.cpp
@@ -17,6 +17,9 @@
 static constexpr milliseconds DrainQuietTime{500};
 static constexpr milliseconds DrainCheckPeriod{50};
 
+/// An answer that shall be swapped waits this long for another one.
+static constexpr milliseconds SwapWait{100};
+
 static constexpr const char *CommandPrefix = "/standin/";
 
 backend_server::backend_server(net::event_loop &Loop, server_settings S)
@@ -28,9 +31,16 @@
       Counters(Settings.RanFile), Load(Clock.steadyNow()),
       Started(Clock.steadyNow()), AnnounceTimer(Loop, [this] { announce(); }),
       LoadTimer(Loop, [this] { checkLoad(); }),
-      ReturnTimer(Loop, [this] { comeBack(); }), DrainTimer(Loop, [this] {
-        if (Calls.empty() && Clock.steadyNow() - LastNewCall >= DrainQuietTime)
-          this->Loop.stop();
+      ReturnTimer(Loop, [this] { comeBack(); }),
+      DrainTimer(Loop,
+                 [this] {
+                   if (Calls.empty() &&
+                       Clock.steadyNow() - LastNewCall >= DrainQuietTime)
+                     this->Loop.stop();
+                 }),
+      HeldTimer(Loop, [this] {
+        if (auto Alone = std::exchange(Held, std::nullopt))
+          Listener.reply(Alone->first, Alone->second);
       }) {
   Listener.setConnectionCost(Settings.Behaviour.Connections,
                              Settings.Behaviour.ConnectCost);
@@ -150,6 +160,8 @@
   Response.Headers.add("gl-server-incarnation",
                        std::to_string(Settings.Announcement.Incarnation));
   Response.Headers.add("gl-version", Settings.Announcement.Version.str());
+  if (const std::string *Id = Request.Headers.find("gl-call-id"))
+    Response.Headers.add("gl-call-id", *Id);
   Response.Body = "answer to " + Request.Body;
   auto Size = std::size_t(Settings.Behaviour.AnswerBytes);
   if (Size > 0)
@@ -176,6 +188,9 @@
   case fault_kind::CutAnswer:
     Listener.replyCut(Id, Response);
     break;
+  case fault_kind::SwapAnswers:
+    swapAnswer(Id, std::move(Response));
+    break;
   case fault_kind::None:
   case fault_kind::Slow:
     Listener.reply(Id, Response);
@@ -183,6 +198,18 @@
   runWaiting();
 }
 
+/// Sends the answers of two calls on each other's connections.
+void backend_server::swapAnswer(request_id Id, net::http_response Response) {
+  if (!Held) {
+    Held.emplace(Id, std::move(Response));
+    HeldTimer.startOnce(SwapWait);
+    return;
+  }
+  auto [Other, OtherResponse] = *std::exchange(Held, std::nullopt);
+  Listener.reply(Other, Response);
+  Listener.reply(Id, OtherResponse);
+}
+
 void backend_server::forget(request_id Id) {
   auto Entry = Calls.find(Id);
   if (Entry == Calls.end())
--- a/standins/backend_server.h
+++ b/standins/backend_server.h
@@ -46,6 +46,7 @@
   void runWaiting();
   void run(request_id Id, call &Call);
   void finish(request_id Id);
+  void swapAnswer(request_id Id, net::http_response Response);
   void forget(request_id Id);
   fault_kind drawFault(const net::http_request &Request);
   std::chrono::microseconds workTime(fault_kind Fault);
@@ -75,6 +76,9 @@
   net::timer LoadTimer;
   net::timer ReturnTimer;
   net::timer DrainTimer;
+  /// An answer that waits to be exchanged with the next one.
+  std::optional<std::pair<request_id, net::http_response>> Held;
+  net::timer HeldTimer;
   steady_time LastNewCall;
   bool Draining = false;
 };
--- a/standins/server_settings.cpp
+++ b/standins/server_settings.cpp
@@ -45,7 +45,8 @@
       {"fail", fault_kind::Fail},
       {"slow", fault_kind::Slow},
       {"lose_answer", fault_kind::LoseAnswer},
-      {"cut_answer", fault_kind::CutAnswer}};
+      {"cut_answer", fault_kind::CutAnswer},
+      {"swap_answers", fault_kind::SwapAnswers}};
   object_reader Reader(Json, "fault", Faults);
   server_fault Fault;
   Fault.Kind = readChoice(Reader, "kind", Kinds);
--- a/standins/server_settings.h
+++ b/standins/server_settings.h
@@ -11,7 +11,7 @@
 namespace gentianlug::standins {
 
 /// What a faulty version does to the calls that it affects.
-enum class fault_kind { None, Fail, Slow, LoseAnswer, CutAnswer };
+enum class fault_kind { None, Fail, Slow, LoseAnswer, CutAnswer, SwapAnswers };
 
 /// A fault of the server's version and the calls that it affects.
 struct server_fault {
