--- a/libs/wire/tests/rollout_values_test.cpp
+++ b/libs/wire/tests/rollout_values_test.cpp
@@ -44,8 +44,13 @@
 
 // Guards against a cut that is lost on its way to the node beside the server.
 TEST(rollout_values, NoticeRoundTrip) {
-  rollout::steering_notice Notice{"commandes@v2@1", service_name("commandes"),
-                                  4, {"127.0.0.1", 7003}, true, 0.25, "errors"};
+  rollout::steering_notice Notice{"commandes@v2@1",
+                                  service_name("commandes"),
+                                  4,
+                                  {"127.0.0.1", 7003},
+                                  true,
+                                  0.25,
+                                  "errors"};
   auto Decoded = decodeSteeringNotice(encode(Notice));
   CHECK(bool(Decoded));
   CHECK(Notice == *Decoded);
