Judge latency of versions that become slow late, and never queue at full

A version that became slow after a while looked like a cold start for good: its latencies never counted and it was done. Latencies now count from 10 s of the server's life on. The share is an upper bound: when the new servers have no free slot, the call goes to the old version, so that a slow or cold new server refuses no calls.

--- a/libs/node/src/serving_proxy.cpp
+++ b/libs/node/src/serving_proxy.cpp
@@ -28,6 +28,9 @@
 /// can be recorded for a caller that asks again.
 static constexpr milliseconds RecordGrace{5000};
 static constexpr milliseconds EvidencePeriod{250};
+/// From this age of a server's life on its latencies are evidence about its
+/// version, whether or not it counts as cold.
+static constexpr milliseconds LongestColdLife{10000};
 /// Shortest delay of the timer that drops calls from the queue.
 static constexpr std::chrono::microseconds ShortestDelay{200};
 
@@ -53,6 +56,8 @@
   net::timer EvidenceTimer;
   net::timer SilenceTimer;
   bool EvidenceDue = false;
+  /// Start of the known life of the server, by its incarnation.
+  steady_time LifeStart{};
   std::unordered_map<call_ticket, std::unique_ptr<serving_call>> Calls;
   std::unordered_map<call_id, call_ticket> Tickets;
   call_ticket NextTicket = 1;
@@ -81,8 +86,10 @@
 
   void onAnnouncement(const wire::server_announcement &Announcement) {
     bool NewLife = Announcement.Incarnation > Admission.incarnation();
-    if (NewLife)
+    if (NewLife) {
       sendEvidence();
+      LifeStart = now();
+    }
     Local.onAnnouncement(Announcement);
     SilenceTimer.startOnce(ServerSilenceTime);
     configure();
@@ -309,13 +316,17 @@
         Call->Relay.hasHead() ? readIncarnation(Call->Relay.answer()) : 0;
     incarnation_number Before = Admission.incarnation();
     auto Latency = Admission.finish({Ticket, Failed, Seen}, now());
-    if (Admission.incarnation() != Before)
+    if (Admission.incarnation() != Before) {
+      LifeStart = now();
       logEvent(event::ServerRestarted, Local.describe());
+    }
     if (NoByteSent) {
       refuseAll(*Call, End.failure().message());
     } else {
       std::optional<std::chrono::microseconds> Warm;
-      if (Admission.warm(now()))
+      // A version that becomes slow late looks like a cold start; the age of
+      // the server's life tells them apart.
+      if (Admission.warm(now()) || now() - LifeStart >= LongestColdLife)
         Warm = Latency;
       addEvidence(Details.Route, Failed, Warm);
       if (End)
--- a/libs/routing/src/two_choices_picker.cpp
+++ b/libs/routing/src/two_choices_picker.cpp
@@ -123,13 +123,16 @@
                    Endpoint->Member.Node) != Request.Tried.end();
 }
 
-/// Healthy endpoints of the new version of a rollout; may be empty.
+/// Healthy endpoints of the new version of a rollout with a free slot; may be
+/// empty. A share is an upper bound: what the new servers cannot run at once
+/// goes to the old version instead of into their queues.
 static endpoint_list findNewVersion(const pick_request &Request,
                                     steady_time Now) {
   auto Usable = findUsable(Request, Request.Version, Now);
   endpoint_list List = Usable ? std::move(*Usable) : endpoint_list();
   std::erase_if(List, [&](const endpoint *Endpoint) {
-    return Endpoint->isEjected(Now) || isTried(Request, Endpoint);
+    return Endpoint->isEjected(Now) || isTried(Request, Endpoint) ||
+           Endpoint->load(Now) >= Endpoint->limit(Now);
   });
   return List;
 }
--- a/libs/routing/tests/endpoint_picker_test.cpp
+++ b/libs/routing/tests/endpoint_picker_test.cpp
@@ -161,6 +161,18 @@
   CHECK(pickOne().failure().Code == make_error_code(routing_errc::NoServer));
 }
 
+// Guards against calls that queue at new servers which are cold or slow, while
+// servers of the old version have room.
+TEST(endpoint_picker, FullServersOfANewVersionLeaveCallsToTheOld) {
+  Members[0].Version = version_name("v2");
+  Table.update(Members);
+  Wanted = version_name("v2");
+  load("a1", 9);
+  CHECK_EQUAL(1000, pickMany()["a1"]);
+  load("a1", 10);
+  CHECK_EQUAL(0, pickMany()["a1"]);
+}
+
 // Guards against a restarted server that is judged by its former life.
 TEST(endpoint_picker, ARestartedServerStartsAfresh) {
   fail("a1");
