--- a/bench/lib/mesh.lua
+++ b/bench/lib/mesh.lua
@@ -117,8 +117,9 @@
   local all = { run.binaries .. "/apps/gentianlug", "--platform",
     self.platform }
   for _, word in ipairs(words) do all[#all + 1] = word end
-  self.commands = (self.commands or 0) + 1
-  local log = log_path("command-" .. self.commands)
+  -- Counted over all meshes of a run, since their logs share one folder.
+  mesh.commands = (mesh.commands or 0) + 1
+  local log = log_path("command-" .. mesh.commands)
   local code = wait_exit(spawn(all, log), limit_ms or 30000)
   return code, read_file(log)
 end
--- a/bench/src/lua_runtime.cpp
+++ b/bench/src/lua_runtime.cpp
@@ -1,5 +1,6 @@
 #include "lua_runtime.h"
 
+#include "gentianlug/core/hash.h"
 #include "gentianlug/settings/json_file.h"
 #include "lua_json.h"
 #include "worlds/world.h"
@@ -113,6 +114,13 @@
   return 0;
 }
 
+static int hashContent(lua_State *Lua) {
+  std::size_t Size = 0;
+  const char *Bytes = luaL_checklstring(Lua, 1, &Size);
+  lua_pushstring(Lua, contentHash({Bytes, Size}).c_str());
+  return 1;
+}
+
 static int nowMillis(lua_State *Lua) {
   auto Now = std::chrono::steady_clock::now().time_since_epoch();
   lua_pushnumber(Lua, std::chrono::duration<double, std::milli>(Now).count());
@@ -190,6 +198,7 @@
     lua_pushinteger(L, freePort(impl::of(L).NextPort));
     return 1;
   });
+  lua_register(Lua, "content_hash", hashContent);
   lua_register(Lua, "now_ms", nowMillis);
   lua_register(Lua, "wall_ms", wallMillis);
   lua_register(Lua, "sleep_ms", sleepMillis);
--- a/libs/operator/src/apply_commands.cpp
+++ b/libs/operator/src/apply_commands.cpp
@@ -169,7 +169,10 @@
   if (Result.AlreadyInForce)
     Report.add("This is version " + Version +
                ", which is in force already; nothing new was accepted.");
-  else
+  if (Result.AlreadyInForce && Result.ObjectsWritten > 0)
+    Report.add(std::to_string(Result.ObjectsWritten) +
+               " objects were written again.");
+  if (!Result.AlreadyInForce)
     Report.add("Version " + Version + " is accepted.");
   Report.Facts = factsOf(Result.Version);
   Report.Facts["accepted"] = !Result.AlreadyInForce;
--- a/libs/operator/src/commands.cpp
+++ b/libs/operator/src/commands.cpp
@@ -88,8 +88,10 @@
     Name.resize(10, ' ');
     Text += "  " + Name + Command.Summary + "\n";
   }
-  return Text + "\n--json prints one JSON object. COMMAND --help shows its "
-                "options.\nExit codes: 0 done, 1 refused, 2 wrong usage, 3 "
+  return Text + "\nThe platform is given by --platform HOST:PORT or by the "
+                "variable\nGENTIANLUG_PLATFORM. --json prints one JSON "
+                "object. COMMAND --help shows its\noptions.\nExit codes: 0 "
+                "done, 1 refused, 2 wrong usage, 3 "
                 "platform down, 4 timed out.\n";
 }
 
@@ -111,7 +113,9 @@
     return makeError(operator_errc::BadArguments,
                      "unknown command \"" + Options.Words[0] + "\"");
   if (Command->NeedsPlatform && Options.Platform.Port == 0)
-    return makeError(operator_errc::BadArguments, "--platform is missing");
+    return makeError(
+        operator_errc::BadArguments,
+        "--platform is missing and GENTIANLUG_PLATFORM is not set");
   return Command->Run(Context);
 }
 
--- a/libs/operator/src/options.cpp
+++ b/libs/operator/src/options.cpp
@@ -3,6 +3,7 @@
 #include "gentianlug/operator/operator_errc.h"
 
 #include <charconv>
+#include <cstdlib>
 #include <getopt.h>
 #include <nlohmann/json.hpp>
 
@@ -129,8 +130,23 @@
   }
 }
 
+/// Takes the platform's address from the environment, so that operators need
+/// not repeat it; --platform takes precedence.
+static result<void> readEnvironment(options &Options) {
+  const char *Platform = std::getenv("GENTIANLUG_PLATFORM");
+  if (!Platform || *Platform == '\0')
+    return {};
+  auto Parsed = parseAddress(Platform);
+  if (!Parsed)
+    return badArgument("GENTIANLUG_PLATFORM: " + Parsed.failure().message());
+  Options.Platform = *Parsed;
+  return {};
+}
+
 result<options> parseOptions(int Argc, char **Argv) {
   options Options;
+  if (auto Read = readEnvironment(Options); !Read)
+    return Read.failure();
   opterr = 0;
   // Zero also resets the scanner of a former call, in the C library used here.
   optind = 0;
