--- a/libs/rollout/src/sequential_verdict.cpp
+++ b/libs/rollout/src/sequential_verdict.cpp
@@ -81,7 +81,7 @@
     Calls += Route.oldCalls();
     Errors += Route.oldErrors();
   }
-  return Calls > 0 ? Errors / Calls : 0;
+  return (Errors + 1) / (Calls + 1);
 }
 
 } // namespace gentianlug::rollout
