--- a/libs/operator/include/gentianlug/operator/mesh_reader.h
+++ b/libs/operator/include/gentianlug/operator/mesh_reader.h
@@ -8,6 +8,8 @@
 #include "gentianlug/platform/zone_status.h"
 #include "gentianlug/rollout/rollout_state.h"
 
+#include <set>
+
 namespace gentianlug::operator_cli {
 
 // Reads the platform's objects. All functions return
@@ -28,6 +30,10 @@
                                             const platform::site_manifest &Site,
                                             const config::part_map &Known);
 
+/// Reads the names of the zones of all sites of the version in force.
+result<std::set<zone_name>> readZoneNames(sync_store &Store,
+                                          const platform::config_head &Head);
+
 /// What the nodes report about the configuration in force.
 struct status_view {
   std::vector<platform::zone_status> Zones;
--- a/libs/operator/include/gentianlug/operator/progress.h
+++ b/libs/operator/include/gentianlug/operator/progress.h
@@ -1,9 +1,11 @@
 #ifndef GENTIANLUG_OPERATOR_PROGRESS_H
 #define GENTIANLUG_OPERATOR_PROGRESS_H
 
+#include "gentianlug/platform/zone_state.h"
 #include "gentianlug/platform/zone_status.h"
 #include "gentianlug/rollout/rollout_state.h"
 
+#include <set>
 #include <vector>
 
 namespace gentianlug::operator_cli {
@@ -13,25 +15,38 @@
   zone_name Zone;
   std::uint32_t Current = 0;
   std::uint32_t Nodes = 0;
+  /// Whether operators have taken the zone out.
+  bool IsOut = false;
 };
 
 /// How far a version is in force.
 struct version_progress {
   std::vector<zone_progress> Zones;
+  /// Zones in service from which no node has reported.
+  std::vector<zone_name> Silent;
   /// Refusals of this version.
   std::vector<platform::config_refusal> Refusals;
 
+  /// Nodes of the zones in service; zones that are out do not count, since
+  /// their machines may be off.
   std::uint32_t current() const;
   std::uint32_t nodes() const;
 
-  /// True when at least one node has reported and every node that has holds
-  /// the version or a later one.
-  bool everywhere() const { return nodes() > 0 && current() == nodes(); }
+  /// True when every zone in service has reported and all its nodes hold the
+  /// version or a later one.
+  bool everywhere() const {
+    return Silent.empty() && nodes() > 0 && current() == nodes();
+  }
 };
 
 /// Counts the nodes that hold \p Version or a later one.
+///
+/// \param Known the zones of the configuration.
+/// \param Out the zones that operators have taken out.
 version_progress progressOf(const std::vector<platform::zone_status> &Zones,
-                            config_version Version);
+                            config_version Version,
+                            const std::set<zone_name> &Known,
+                            const platform::zone_state &Out);
 
 /// Where a rollout stands for somebody who waits for its end.
 enum class rollout_outcome : std::uint8_t { Open, Done, TakenBack };
--- a/libs/operator/src/facts.cpp
+++ b/libs/operator/src/facts.cpp
@@ -58,7 +58,8 @@
 json factsOf(const zone_progress &Progress) {
   return {{"zone", Progress.Zone.str()},
           {"current", Progress.Current},
-          {"nodes", Progress.Nodes}};
+          {"nodes", Progress.Nodes},
+          {"out", Progress.IsOut}};
 }
 
 json factsOf(const platform::config_refusal &Refusal) {
--- a/libs/operator/src/mesh_reader.cpp
+++ b/libs/operator/src/mesh_reader.cpp
@@ -73,6 +73,39 @@
   return Assembled;
 }
 
+/// Part that holds the zones of a site.
+static constexpr const char *SitePart = "site";
+
+/// Adds the zones of one site; only the part with the zones is read.
+static result<void> addZones(sync_store &Store,
+                             const platform::site_manifest &Site,
+                             std::set<zone_name> &Zones) {
+  auto Hash = Site.Parts.find(SitePart);
+  if (Hash == Site.Parts.end())
+    return {};
+  config::part_hashes Only{*Hash};
+  auto Configuration = readSite(Store, {config::rootHash(Only), Only}, {});
+  if (!Configuration)
+    return Configuration.failure();
+  for (const config::availability_zone &Zone : Configuration->Zones)
+    Zones.insert(Zone.Name);
+  return {};
+}
+
+result<std::set<zone_name>> readZoneNames(sync_store &Store,
+                                          const platform::config_head &Head) {
+  std::set<zone_name> Zones;
+  if (Head.Version == 0)
+    return Zones;
+  auto Manifest = readManifest(Store, Head.ManifestHash);
+  if (!Manifest)
+    return Manifest.failure();
+  for (const auto &[Name, Site] : Manifest->Sites)
+    if (auto Added = addZones(Store, Site, Zones); !Added)
+      return Added.failure();
+  return Zones;
+}
+
 /// Decodes a list of objects and collects the keys of malformed ones.
 template <class T>
 static std::vector<T> decodeAll(const platform::object_list &List,
--- a/libs/operator/src/progress.cpp
+++ b/libs/operator/src/progress.cpp
@@ -5,22 +5,28 @@
 std::uint32_t version_progress::current() const {
   std::uint32_t Sum = 0;
   for (const zone_progress &Zone : Zones)
-    Sum += Zone.Current;
+    Sum += Zone.IsOut ? 0 : Zone.Current;
   return Sum;
 }
 
 std::uint32_t version_progress::nodes() const {
   std::uint32_t Sum = 0;
   for (const zone_progress &Zone : Zones)
-    Sum += Zone.Nodes;
+    Sum += Zone.IsOut ? 0 : Zone.Nodes;
   return Sum;
 }
 
 version_progress progressOf(const std::vector<platform::zone_status> &Zones,
-                            config_version Version) {
+                            config_version Version,
+                            const std::set<zone_name> &Known,
+                            const platform::zone_state &Out) {
   version_progress Progress;
+  std::set<zone_name> Missing = Known;
+  for (const auto &[Zone, Entry] : Out.Out)
+    Missing.erase(Zone);
   for (const platform::zone_status &Status : Zones) {
-    zone_progress Zone{Status.Zone, 0, 0};
+    zone_progress Zone{Status.Zone, 0, 0, Out.Out.count(Status.Zone) > 0};
+    Missing.erase(Status.Zone);
     for (const auto &[Held, Nodes] : Status.NodesByVersion) {
       Zone.Nodes += Nodes;
       Zone.Current += Held >= Version ? Nodes : 0;
@@ -30,6 +36,7 @@
       if (Refusal.Version == Version)
         Progress.Refusals.push_back(Refusal);
   }
+  Progress.Silent.assign(Missing.begin(), Missing.end());
   return Progress;
 }
 
--- a/libs/operator/src/status_commands.cpp
+++ b/libs/operator/src/status_commands.cpp
@@ -1,6 +1,7 @@
 #include "command_groups.h"
 #include "facts.h"
 #include "gentianlug/operator/mesh_reader.h"
+#include "gentianlug/operator/operator_errc.h"
 #include "text.h"
 
 #include <algorithm>
@@ -12,6 +13,9 @@
 /// All that `status` tells about.
 struct mesh_view {
   platform::config_head Head;
+  /// Zones of the configuration; empty when it cannot be read.
+  std::set<zone_name> ZoneNames;
+  std::string Fault;
   status_view Status;
   platform::zone_state Zones;
   rollouts_view Rollouts;
@@ -30,6 +34,10 @@
   auto Head = readHead(Store);
   if (!Head)
     return Head.failure();
+  auto Names = readZoneNames(Store, Head->Head);
+  if (!Names &&
+      Names.failure().Code == make_error_code(operator_errc::PlatformDown))
+    return Names.failure();
   auto Status = readStatus(Store);
   if (!Status)
     return Status.failure();
@@ -39,12 +47,19 @@
   auto Rollouts = readRollouts(Store);
   if (!Rollouts)
     return Rollouts.failure();
-  return mesh_view{std::move(Head->Head), std::move(*Status), std::move(*Zones),
-                   std::move(*Rollouts)};
+  mesh_view View{
+      std::move(Head->Head), {}, {}, std::move(*Status), std::move(*Zones),
+      std::move(*Rollouts)};
+  if (Names)
+    View.ZoneNames = std::move(*Names);
+  else
+    View.Fault = Names.failure().Detail;
+  return View;
 }
 
 static void reportVersion(const mesh_view &View, command_report &Report) {
-  version_progress Progress = progressOf(View.Status.Zones, View.Head.Version);
+  version_progress Progress = progressOf(View.Status.Zones, View.Head.Version,
+                                         View.ZoneNames, View.Zones);
   Report.Facts["zones"] = factsOfAll(Progress.Zones);
   Report.Facts["everywhere"] = Progress.everywhere();
   Report.Facts["refusals"] = factsOfAll(Progress.Refusals);
@@ -62,8 +77,16 @@
                                      : "It is not yet in force everywhere.");
   for (const zone_progress &Zone : Progress.Zones)
     Report.add(describe(Zone, View.Head.Version));
+  Report.Facts["silent_zones"] = nlohmann::json::array();
+  for (const zone_name &Zone : Progress.Silent) {
+    Report.add(describeSilent(Zone));
+    Report.Facts["silent_zones"].push_back(Zone.str());
+  }
   for (const platform::config_refusal &Refusal : Progress.Refusals)
     Report.add(describe(Refusal));
+  if (!View.Fault.empty())
+    Report.add("The version cannot be read from the platform: " + View.Fault +
+               ".");
 }
 
 static void reportZones(const platform::zone_state &Zones,
--- a/libs/operator/src/text.cpp
+++ b/libs/operator/src/text.cpp
@@ -98,7 +98,12 @@
   return "Zone " + Progress.Zone.str() + ": version " +
          std::to_string(Version) + " is in force on " +
          std::to_string(Progress.Current) + " of " +
-         std::to_string(Progress.Nodes) + " nodes.";
+         std::to_string(Progress.Nodes) + " nodes" +
+         (Progress.IsOut ? "; the zone is out." : ".");
+}
+
+std::string describeSilent(const zone_name &Zone) {
+  return "Zone " + Zone.str() + ": no node has reported.";
 }
 
 std::string describe(const platform::config_refusal &Refusal) {
--- a/libs/operator/src/text.h
+++ b/libs/operator/src/text.h
@@ -22,6 +22,7 @@
 std::string describe(const config::config_change &Change);
 std::string describe(const config::value_origin &Origin);
 std::string describe(const zone_progress &Progress, config_version Version);
+std::string describeSilent(const zone_name &Zone);
 std::string describe(const platform::config_refusal &Refusal);
 std::string describe(const zone_name &Zone, const platform::zone_out &Out);
 std::string describe(const platform::zone_move &Move);
--- a/libs/operator/src/wait_command.cpp
+++ b/libs/operator/src/wait_command.cpp
@@ -16,6 +16,10 @@
 /// Pause after the platform failed all retries of one call.
 static constexpr milliseconds OutagePause{1000};
 
+static bool isOutage(const error &Failure) {
+  return Failure.Code == make_error_code(operator_errc::PlatformDown);
+}
+
 namespace {
 
 /// What one look at the platform found.
@@ -55,10 +59,6 @@
   }
 
 private:
-  static bool isOutage(const error &Failure) {
-    return Failure.Code == make_error_code(operator_errc::PlatformDown);
-  }
-
   milliseconds timeLeft() const {
     auto Left = Deadline - Context.Driver.steadyNow();
     return std::max(milliseconds(1),
@@ -92,16 +92,22 @@
 
 /// A refusal ends the wait: a node does not try a refused version again.
 static result<wait_look> lookAtVersion(command_context &Context,
-                                       config_version Version) {
+                                       config_version Version,
+                                       const std::set<zone_name> &Known) {
   auto Status = readStatus(Context.Store);
   if (!Status)
     return Status.failure();
-  version_progress Progress = progressOf(Status->Zones, Version);
+  auto Zones = readZones(Context.Store);
+  if (!Zones)
+    return Zones.failure();
+  version_progress Progress = progressOf(Status->Zones, Version, Known, *Zones);
   wait_look Look;
   Look.Revision = Status->Revision;
   Look.Progress = "version " + std::to_string(Version) + " is in force on " +
                   std::to_string(Progress.current()) + " of " +
                   std::to_string(Progress.nodes()) + " nodes";
+  for (const zone_name &Zone : Progress.Silent)
+    Look.Progress += "; no node of zone " + Zone.str() + " has reported";
   if (!Progress.everywhere() && Progress.Refusals.empty())
     return Look;
   command_report Report;
@@ -147,11 +153,29 @@
   return Look;
 }
 
-static result<command_report> waitForVersion(command_context &Context,
-                                             config_version Version) {
-  return waiter(Context, platform::StatusPrefix).run([&] {
-    return lookAtVersion(Context, Version);
-  });
+/// Waits for \p Version, or for the newest accepted one. The zones are those
+/// of the newest version; an unreadable one is left to the nodes' refusals.
+static result<command_report>
+waitForVersion(command_context &Context,
+               std::optional<config_version> Version) {
+  std::optional<std::set<zone_name>> Known;
+  return waiter(Context, platform::StatusPrefix)
+      .run([&]() -> result<wait_look> {
+        if (!Known) {
+          auto Head = readHead(Context.Store);
+          if (!Head)
+            return Head.failure();
+          if (Head->Head.Version == 0)
+            return makeError(operator_errc::Refused,
+                             "no version was accepted yet");
+          auto Names = readZoneNames(Context.Store, Head->Head);
+          if (!Names && isOutage(Names.failure()))
+            return Names.failure();
+          Known = Names ? std::move(*Names) : std::set<zone_name>{};
+          Version = Version.value_or(Head->Head.Version);
+        }
+        return lookAtVersion(Context, *Version, *Known);
+      });
 }
 
 result<command_report> runWait(command_context &Context) {
@@ -165,14 +189,8 @@
   if (Words.size() == 3 && Words[1] == "version")
     if (auto Version = parseNumber(Words[2]); Version && *Version > 0)
       return waitForVersion(Context, *Version);
-  if (Words.size() == 2 && Words[1] == "version") {
-    auto Head = readHead(Context.Store);
-    if (!Head)
-      return Head.failure();
-    if (Head->Head.Version == 0)
-      return makeError(operator_errc::Refused, "no version was accepted yet");
-    return waitForVersion(Context, Head->Head.Version);
-  }
+  if (Words.size() == 2 && Words[1] == "version")
+    return waitForVersion(Context, std::nullopt);
   return makeError(operator_errc::BadArguments,
                    "wait takes version [NUMBER] or rollout SERVICE");
 }
--- a/libs/operator/src/zone_commands.cpp
+++ b/libs/operator/src/zone_commands.cpp
@@ -11,41 +11,6 @@
 
 using platform::zone_state;
 
-/// Part that holds the zones of a site.
-static constexpr const char *SitePart = "site";
-
-/// Adds the zones of one site; only the part with the zones is read.
-static result<void> addZones(sync_store &Store,
-                             const platform::site_manifest &Site,
-                             std::set<zone_name> &Zones) {
-  auto Hash = Site.Parts.find(SitePart);
-  if (Hash == Site.Parts.end())
-    return {};
-  config::part_hashes Only{*Hash};
-  auto Configuration = readSite(Store, {config::rootHash(Only), Only}, {});
-  if (!Configuration)
-    return Configuration.failure();
-  for (const config::availability_zone &Zone : Configuration->Zones)
-    Zones.insert(Zone.Name);
-  return {};
-}
-
-static result<std::set<zone_name>> readKnownZones(sync_store &Store) {
-  std::set<zone_name> Zones;
-  auto Head = readHead(Store);
-  if (!Head)
-    return Head.failure();
-  if (Head->Head.Version == 0)
-    return Zones;
-  auto Manifest = readManifest(Store, Head->Head.ManifestHash);
-  if (!Manifest)
-    return Manifest.failure();
-  for (const auto &[Name, Site] : Manifest->Sites)
-    if (auto Added = addZones(Store, Site, Zones); !Added)
-      return Added.failure();
-  return Zones;
-}
-
 static void addFacts(const zone_state &State, command_report &Report) {
   Report.Facts["zones_out"] = nlohmann::json::array();
   for (const auto &[Zone, Out] : State.Out)
@@ -78,7 +43,10 @@
                                                 bool TakeOut) {
   if (!TakeOut)
     return std::set<zone_name>{};
-  return readKnownZones(Context.Store);
+  auto Head = readHead(Context.Store);
+  if (!Head)
+    return Head.failure();
+  return readZoneNames(Context.Store, Head->Head);
 }
 
 static result<command_report> moveZone(command_context &Context,
--- a/libs/operator/tests/wait_gc_status_test.cpp
+++ b/libs/operator/tests/wait_gc_status_test.cpp
@@ -36,19 +36,41 @@
 // Guards against a script that goes on before every zone holds the version.
 TEST(wait_command, EndsWhenEveryZoneHoldsTheVersion) {
   Bench.apply("beaudoin");
-  setStatus(Bench, "z1", {{1, 3}});
-  setStatus(Bench, "z2", {{0, 1}, {1, 2}});
+  setStatus(Bench, "qc-east-1", {{1, 3}});
+  setStatus(Bench, "qc-east-2", {{0, 1}, {1, 2}});
+  setStatus(Bench, "qc-east-3", {});
   auto Late = Bench.run({"wait", "version", "--timeout-s", "20"});
   CHECK_EQUAL(TimedOut, Late.Code);
   CHECK(Bench.says(Late, "in force on 5 of 6 nodes"));
-  Bench.Objects.OnNextWatch = [this] { setStatus(Bench, "z2", {{2, 3}}); };
+  Bench.Objects.OnNextWatch = [this] {
+    setStatus(Bench, "qc-east-2", {{2, 3}});
+  };
   auto Report = Bench.run({"wait", "version"});
   CHECK_EQUAL(Success, Report.Code);
   CHECK(Bench.says(Report, "in force everywhere, on 6 nodes"));
 }
 
+// Guards against "everywhere" while a zone has not been heard of, and against
+// a wait for the machines of a zone that is out.
+TEST(wait_command, SilentZonesCountAndZonesThatAreOutDoNot) {
+  Bench.apply("beaudoin");
+  setStatus(Bench, "qc-east-1", {{1, 3}});
+  setStatus(Bench, "qc-east-2", {{1, 2}});
+  auto Late = Bench.run({"wait", "version", "--timeout-s", "20"});
+  CHECK_EQUAL(TimedOut, Late.Code);
+  CHECK(Bench.says(Late, "no node of zone qc-east-3 has reported"));
+  CHECK(Bench.says(Bench.run({"status"}), "qc-east-3: no node has reported"));
+  Bench.run({"zone", "out", "qc-east-3"});
+  setStatus(Bench, "qc-east-2", {{0, 2}});
+  Bench.run({"zone", "out", "qc-east-2"});
+  auto Report = Bench.run({"wait", "version"});
+  CHECK_EQUAL(Success, Report.Code);
+  CHECK(Bench.says(Report, "in force everywhere, on 3 nodes"));
+}
+
 // Guards against a wait for a version that nodes have refused.
 TEST(wait_command, RefusalsEndTheWaitWithTheirReason) {
+  Bench.apply("beaudoin");
   setStatus(Bench, "z1", {{1, 3}}, {{node_id("n1"), 2, "dangling route"}});
   auto Report = Bench.run({"wait", "version", "2"});
   CHECK_EQUAL(Refused, Report.Code);
@@ -58,7 +80,9 @@
 // Guards against a wait without end on a platform that is down, and against
 // one that gives up at a short outage.
 TEST(wait_command, OutagesAreWaitedOutUntilTheTimeout) {
-  setStatus(Bench, "z1", {{1, 1}});
+  Bench.apply("beaudoin");
+  for (const char *Zone : {"qc-east-1", "qc-east-2", "qc-east-3"})
+    setStatus(Bench, Zone, {{1, 1}});
   Bench.Objects.Faults.assign(20, fault::Down);
   CHECK_EQUAL(Success, Bench.run({"wait", "version", "1"}).Code);
   Bench.Objects.Always = fault::Down;
