Show rollouts that have not started in status

A rollout whose new version has no server yet has no state on the platform, so status left it out. status now reads the version in force and lists such rollouts with the time by which they are decided.

--- a/libs/operator/include/gentianlug/operator/mesh_reader.h
+++ b/libs/operator/include/gentianlug/operator/mesh_reader.h
@@ -30,6 +30,13 @@
                                             const platform::site_manifest &Site,
                                             const config::part_map &Known);
 
+/// Reads all sites of a version.
+///
+/// \param Known parts that need not be read; see `readSite`.
+result<std::vector<config::site_configuration>>
+readSites(sync_store &Store, const std::string &ManifestHash,
+          const config::part_map &Known);
+
 /// Reads the names of the zones of all sites of the version in force.
 result<std::set<zone_name>> readZoneNames(sync_store &Store,
                                           const platform::config_head &Head);
--- a/libs/operator/src/apply_commands.cpp
+++ b/libs/operator/src/apply_commands.cpp
@@ -64,17 +64,10 @@
 static result<site_set> readVersion(sync_store &Store,
                                     const platform::accepted_version &Version,
                                     const config::part_map &Known) {
-  auto Manifest = readManifest(Store, Version.ManifestHash);
-  if (!Manifest)
-    return Manifest.failure();
-  site_set Set{Version.Version, {}};
-  for (const auto &[Name, Site] : Manifest->Sites) {
-    auto Configuration = readSite(Store, Site, Known);
-    if (!Configuration)
-      return Configuration.failure();
-    Set.Sites.push_back(std::move(*Configuration));
-  }
-  return Set;
+  auto Sites = readSites(Store, Version.ManifestHash, Known);
+  if (!Sites)
+    return Sites.failure();
+  return site_set{Version.Version, std::move(*Sites)};
 }
 
 static result<site_set> readInForce(sync_store &Store,
--- a/libs/operator/src/mesh_reader.cpp
+++ b/libs/operator/src/mesh_reader.cpp
@@ -73,6 +73,22 @@
   return Assembled;
 }
 
+result<std::vector<config::site_configuration>>
+readSites(sync_store &Store, const std::string &ManifestHash,
+          const config::part_map &Known) {
+  auto Manifest = readManifest(Store, ManifestHash);
+  if (!Manifest)
+    return Manifest.failure();
+  std::vector<config::site_configuration> Sites;
+  for (const auto &[Name, Site] : Manifest->Sites) {
+    auto Configuration = readSite(Store, Site, Known);
+    if (!Configuration)
+      return Configuration.failure();
+    Sites.push_back(std::move(*Configuration));
+  }
+  return Sites;
+}
+
 /// Part that holds the zones of a site.
 static constexpr const char *SitePart = "site";
 
--- a/libs/operator/src/status_commands.cpp
+++ b/libs/operator/src/status_commands.cpp
@@ -13,8 +13,9 @@
 /// All that `status` tells about.
 struct mesh_view {
   platform::config_head Head;
-  /// Zones of the configuration; empty when it cannot be read.
-  std::set<zone_name> ZoneNames;
+  /// The version in force; empty when it cannot be read.
+  std::vector<config::site_configuration> Sites;
+  /// Why the version cannot be read.
   std::string Fault;
   status_view Status;
   platform::zone_state Zones;
@@ -34,10 +35,13 @@
   auto Head = readHead(Store);
   if (!Head)
     return Head.failure();
-  auto Names = readZoneNames(Store, Head->Head);
-  if (!Names &&
-      Names.failure().Code == make_error_code(operator_errc::PlatformDown))
-    return Names.failure();
+  result<std::vector<config::site_configuration>> Sites =
+      std::vector<config::site_configuration>{};
+  if (Head->Head.Version > 0)
+    Sites = readSites(Store, Head->Head.ManifestHash, {});
+  if (!Sites &&
+      Sites.failure().Code == make_error_code(operator_errc::PlatformDown))
+    return Sites.failure();
   auto Status = readStatus(Store);
   if (!Status)
     return Status.failure();
@@ -50,16 +54,24 @@
   mesh_view View{
       std::move(Head->Head), {}, {}, std::move(*Status), std::move(*Zones),
       std::move(*Rollouts)};
-  if (Names)
-    View.ZoneNames = std::move(*Names);
+  if (Sites)
+    View.Sites = std::move(*Sites);
   else
-    View.Fault = Names.failure().Detail;
+    View.Fault = Sites.failure().Detail;
   return View;
 }
 
+static std::set<zone_name> zoneNames(const mesh_view &View) {
+  std::set<zone_name> Names;
+  for (const config::site_configuration &Site : View.Sites)
+    for (const config::availability_zone &Zone : Site.Zones)
+      Names.insert(Zone.Name);
+  return Names;
+}
+
 static void reportVersion(const mesh_view &View, command_report &Report) {
   version_progress Progress = progressOf(View.Status.Zones, View.Head.Version,
-                                         View.ZoneNames, View.Zones);
+                                         zoneNames(View), View.Zones);
   Report.Facts["zones"] = factsOfAll(Progress.Zones);
   Report.Facts["everywhere"] = Progress.everywhere();
   Report.Facts["refusals"] = factsOfAll(Progress.Refusals);
@@ -100,15 +112,40 @@
     Report.add("No zone is out.");
 }
 
-static void reportRollouts(const rollouts_view &View, wall_time Now,
+/// Returns the rollouts of the configuration that no controller has written a
+/// state for, as states that wait.
+static std::vector<rollout::rollout_state>
+rolloutsToStart(const mesh_view &View) {
+  std::set<std::string> Started;
+  for (const rollout::rollout_state &State : View.Rollouts.Rollouts)
+    Started.insert(State.Id);
+  std::vector<rollout::rollout_state> Waiting;
+  for (const config::site_configuration &Site : View.Sites)
+    for (const config::rollout &Rollout : Site.Rollouts) {
+      if (!Started.insert(Rollout.id()).second)
+        continue;
+      rollout::rollout_state State;
+      State.Id = Rollout.id();
+      State.Service = Rollout.Service;
+      State.Version = Rollout.Version;
+      State.FinishBy = Rollout.FinishBy;
+      Waiting.push_back(std::move(State));
+    }
+  return Waiting;
+}
+
+static void reportRollouts(const mesh_view &View, wall_time Now,
                            command_report &Report) {
+  std::vector<rollout::rollout_state> States = View.Rollouts.Rollouts;
+  for (rollout::rollout_state &State : rolloutsToStart(View))
+    States.push_back(std::move(State));
   Report.Facts["rollouts"] = nlohmann::json::array();
-  for (const rollout::rollout_state &State : View.Rollouts) {
+  for (const rollout::rollout_state &State : States) {
     Report.add(describe(State, Now));
     Report.Facts["rollouts"].push_back(factsOf(State, Now));
   }
-  if (View.Rollouts.empty())
-    Report.add("No rollout has started.");
+  if (States.empty())
+    Report.add("There is no rollout.");
 }
 
 static void reportUnreadable(const mesh_view &View, command_report &Report) {
@@ -127,7 +164,7 @@
   command_report Report;
   reportVersion(*View, Report);
   reportZones(View->Zones, Report);
-  reportRollouts(View->Rollouts, Context.Driver.wallNow(), Report);
+  reportRollouts(*View, Context.Driver.wallNow(), Report);
   reportUnreadable(*View, Report);
   return Report;
 }
--- a/libs/operator/tests/move_commands_test.cpp
+++ b/libs/operator/tests/move_commands_test.cpp
@@ -88,10 +88,13 @@
   CHECK(Bench.says(Report, "growing with 25.0% of the calls"));
 }
 
-// Guards against a second move after the answer to the first was lost.
+// Guards against a second move, or a statement that somebody else has moved
+// the rollout, after the answer to the first was lost.
 TEST(rollout_command, LostAnswersAreRecognised) {
   Bench.Objects.Faults = {fault::None, fault::LostAnswer};
-  CHECK_EQUAL(Success, move("pause").Code);
+  auto Report = move("pause");
+  CHECK_EQUAL(Success, Report.Code);
+  CHECK(Report.Facts["changed"].get<bool>());
   CHECK_EQUAL(1U, Bench.Objects.Puts);
 }
 
--- a/libs/operator/tests/wait_gc_status_test.cpp
+++ b/libs/operator/tests/wait_gc_status_test.cpp
@@ -1,4 +1,5 @@
 #include "fake_store.h"
+#include "gentianlug/operator/accept.h"
 #include "gentianlug/platform/keys.h"
 #include "gentianlug/wire/platform_values.h"
 #include "gentianlug/wire/rollout_values.h"
@@ -170,6 +171,25 @@
   CHECK_FALSE(Report.Facts["everywhere"].get<bool>());
 }
 
+// Guards against a rollout that nobody sees because no server of its new
+// version has come up.
+TEST(status_command, NamesRolloutsThatHaveNotStarted) {
+  config::site_configuration Site;
+  Site.Site = site_name("east");
+  config::service Service;
+  Service.Name = service_name("a");
+  Service.Version = version_name("v1");
+  Site.Services = {Service};
+  Site.Rollouts = {{Service.Name, version_name("v2"),
+                    Bench.Driver.wallNow() + std::chrono::minutes(5), 0.05}};
+  acceptance_request Request{"marie", "new version", "w1", false};
+  CHECK(bool(acceptConfiguration(Bench.Store, {}, {Site}, Request,
+                                 Bench.Driver.wallNow())));
+  auto Report = Bench.run({"status"});
+  CHECK(Bench.says(Report, "Rollout of a to v2 is waiting"));
+  CHECK_EQUAL(1U, Report.Facts["rollouts"].size());
+}
+
 // Guards against a history without end or in another order.
 TEST(status_command, HistoryListsTheLastTenNewestLast) {
   for (int Round = 0; Round < 6; ++Round) {
