--- a/libs/operator/src/apply_commands.cpp
+++ b/libs/operator/src/apply_commands.cpp
@@ -64,17 +64,10 @@
 static result<site_set> readVersion(sync_store &Store,
                                     const platform::accepted_version &Version,
                                     const config::part_map &Known) {
-  auto Manifest = readManifest(Store, Version.ManifestHash);
-  if (!Manifest)
-    return Manifest.failure();
-  site_set Set{Version.Version, {}};
-  for (const auto &[Name, Site] : Manifest->Sites) {
-    auto Configuration = readSite(Store, Site, Known);
-    if (!Configuration)
-      return Configuration.failure();
-    Set.Sites.push_back(std::move(*Configuration));
-  }
-  return Set;
+  auto Sites = readSites(Store, Version.ManifestHash, Known);
+  if (!Sites)
+    return Sites.failure();
+  return site_set{Version.Version, std::move(*Sites)};
 }
 
 static result<site_set> readInForce(sync_store &Store,
@@ -169,7 +162,10 @@
   if (Result.AlreadyInForce)
     Report.add("This is version " + Version +
                ", which is in force already; nothing new was accepted.");
-  else
+  if (Result.AlreadyInForce && Result.ObjectsWritten > 0)
+    Report.add(std::to_string(Result.ObjectsWritten) +
+               " objects were written again.");
+  if (!Result.AlreadyInForce)
     Report.add("Version " + Version + " is accepted.");
   Report.Facts = factsOf(Result.Version);
   Report.Facts["accepted"] = !Result.AlreadyInForce;
