Let an older head arrive in the random schedules

A version guard removed from node_state::putInForce went unnoticed by the schedule test, because heads only rose. Now an older head arrives beside each acceptance; with the guard or the live value guard removed the test fails.

--- a/libs/distribution/tests/schedule_test.cpp
+++ b/libs/distribution/tests/schedule_test.cpp
@@ -98,7 +98,11 @@
             {Peer, Index, Nodes[Peer].State->updateFor(request(Index, Peer))});
   }
 
-  void accept() { putInForce(Nodes[drawIndex(Gen, 2)], ++Accepted); }
+  void accept() {
+    putInForce(Nodes[drawIndex(Gen, 2)], ++Accepted);
+    // Another relay still reads an older head.
+    putInForce(Nodes[drawIndex(Gen, 2)], 1 + drawIndex(Gen, Accepted));
+  }
 
   void putInForce(sim_node &Node, config_version Version) {
     config_image Image = sampleImage(Version);
