Forward records and suspicions from below to the root

An inner relay took records of its children but sent none of them to its own parent, so a node at depth two was known elsewhere only after the repair of differing digests, seconds later. Outcomes of changes from below now list their records, and the control task sends these up.

--- a/libs/distribution/include/gentianlug/distribution/node_state.h
+++ b/libs/distribution/include/gentianlug/distribution/node_state.h
@@ -41,8 +41,8 @@
   bool MembersChanged = false;
   bool LiveChanged = false;
   bool ConfigChanged = false;
-  /// Records that the sender does not have: the own refutation, or records
-  /// that are missing from a snapshot.
+  /// Records for the root: changed ones from below, refutations, or records
+  /// that are missing from a snapshot from above.
   std::vector<membership::member_record> Missing;
   /// Reason why the configuration of the update was refused.
   std::optional<refusal_report> Refusal;
@@ -86,18 +86,22 @@
   void setOwn(membership::member_record Own, steady_time Now);
 
   /// Marks a node as suspect; see `member_table::suspect`.
-  bool suspect(const node_id &Node, steady_time Now);
+  update_outcome suspect(const node_id &Node, steady_time Now);
 
   /// Removes expired suspects; returns whether a record changed.
   bool expire(steady_time Now);
 
   /// Suspects nodes that nobody watches; see `member_table::suspectOrphans`.
   template <class IsChild, class IsRoot>
-  bool suspectOrphans(steady_time Now, IsChild &&Child, IsRoot &&Root) {
-    auto Nodes = Members.suspectOrphans(Now, Child, Root);
-    for (const node_id &Node : Nodes)
+  update_outcome suspectOrphans(steady_time Now, IsChild &&Child,
+                                IsRoot &&Root) {
+    update_outcome Outcome;
+    for (const node_id &Node : Members.suspectOrphans(Now, Child, Root)) {
       logMember(Node, update_source::Below);
-    return !Nodes.empty();
+      Outcome.MembersChanged = true;
+      Outcome.Missing.push_back(*Members.find(Node));
+    }
+    return Outcome;
   }
 
   /// Returns what the sender of \p Request lacks.
--- a/libs/distribution/src/node_state.cpp
+++ b/libs/distribution/src/node_state.cpp
@@ -66,6 +66,8 @@
       logMember(Record.Node, update_source::Below);
     } else {
       logMember(Record.Node, Source);
+      if (Source == update_source::Below)
+        Outcome.Missing.push_back(Record);
     }
   }
   return Outcome;
@@ -162,11 +164,14 @@
   logMember(Self, update_source::Below);
 }
 
-bool node_state::suspect(const node_id &Node, steady_time Now) {
-  if (!Members.suspect(Node, Now))
-    return false;
+update_outcome node_state::suspect(const node_id &Node, steady_time Now) {
+  update_outcome Outcome;
+  Outcome.MembersChanged = Members.suspect(Node, Now);
+  if (!Outcome.MembersChanged)
+    return Outcome;
   logMember(Node, update_source::Below);
-  return true;
+  Outcome.Missing.push_back(*Members.find(Node));
+  return Outcome;
 }
 
 bool node_state::expire(steady_time Now) {
--- a/libs/distribution/tests/node_state_test.cpp
+++ b/libs/distribution/tests/node_state_test.cpp
@@ -58,6 +58,18 @@
   CHECK(State.members().find(node_id("inner"))->State == member_state::Suspect);
 }
 
+// Guards against records and suspicions that stop at an inner node of the tree
+// and never reach the root.
+TEST(node_state, ChangesFromBelowGoOnToTheRoot) {
+  member_record Leaf = record("leaf", "self", member_state::Serving);
+  CHECK_EQUAL(1U, apply(Leaf, update_source::Below).Missing.size());
+  CHECK_EQUAL(0U, apply(Leaf, update_source::Below).Missing.size());
+  update_outcome Suspected = State.suspect(node_id("leaf"), Clock.steadyNow());
+  CHECK(Suspected.Missing.at(0).State == member_state::Suspect);
+  member_record Far = record("far", "x", member_state::Serving);
+  CHECK_EQUAL(0U, apply(Far, update_source::Above).Missing.size());
+}
+
 // Guards against a version that is taken in part, and against one bad version
 // that keeps later ones out.
 TEST(node_state, BadVersionIsRefusedWholeAndTheNextOneTaken) {
--- a/libs/node/src/control_listener.cpp
+++ b/libs/node/src/control_listener.cpp
@@ -313,17 +313,13 @@
   std::erase_if(Pollers, [Now](const auto &Entry) {
     return Now - Entry.second.LastSeen >= PollerMemory;
   });
-  bool Changed = false;
   for (const node_id &Node : Children.removeMissing(Now)) {
     logEvent(event::ChildMissing, Node.str());
-    Changed = Context.State.suspect(Node, Now) || Changed;
+    Outputs.Changed(Context.State.suspect(Node, Now));
   }
-  Changed = Context.State.expire(Now) || Changed;
-  if (!Changed)
-    return;
-  update_outcome Outcome;
-  Outcome.MembersChanged = true;
-  Outputs.Changed(Outcome);
+  update_outcome Expired;
+  Expired.MembersChanged = Context.State.expire(Now);
+  Outputs.Changed(Expired);
 }
 
 } // namespace gentianlug::node
--- a/libs/node/src/control_task.cpp
+++ b/libs/node/src/control_task.cpp
@@ -312,15 +312,13 @@
     for (const relay_entry &Poller : Listener.relayPollers())
       Roots.push_back(Poller);
     bool IsRoot = Relay.isRoot();
-    bool Changed = State.suspectOrphans(
+    onChanged(State.suspectOrphans(
         Context.now(),
         [this](const node_id &Node) {
           return Listener.children().isLiveChild(Node);
         },
         // Only a root relay knows the others.
-        [&](const node_id &Node) { return !IsRoot || isAmong(Roots, Node); });
-    if (Changed)
-      onChanged(membersChanged());
+        [&](const node_id &Node) { return !IsRoot || isAmong(Roots, Node); }));
   }
 
   /// A node below a relay of another zone goes back once its own zone has one,
--- a/libs/node/src/parent_link.cpp
+++ b/libs/node/src/parent_link.cpp
@@ -181,7 +181,6 @@
                           Context.now(), Context.Gen);
   update_outcome Outcome = Context.State.apply(
       Response->Update, update_source::Above, Context.now());
-  sendUp(Outcome.Missing);
   if (Attachment.parentPath() != Before)
     Outputs.PathChanged();
   Outputs.Changed(Outcome);
--- a/libs/node/src/relay_exchange.cpp
+++ b/libs/node/src/relay_exchange.cpp
@@ -109,9 +109,7 @@
   if (!Peer.Lost && Now - Peer.LastAnswer >= SilenceLimit) {
     Peer.Lost = true;
     logEvent(event::RelayPeerLost, Peer.Relay.Node.str() + ": " + Reason);
-    update_outcome Outcome;
-    Outcome.MembersChanged = Context.State.suspect(Peer.Relay.Node, Now);
-    Outputs.Changed(Outcome);
+    Outputs.Changed(Context.State.suspect(Peer.Relay.Node, Now));
   }
   Peer.Retry.startOnce(RetryDelay);
 }
