--- a/libs/node/src/control_listener.cpp
+++ b/libs/node/src/control_listener.cpp
@@ -154,18 +154,19 @@
   waiting_poll Poll{Exchange, std::move(*Request), Now + Hold};
   bool Probe = Poll.Request.Role == sync_role::Probe;
   Poll.Resync = !Probe && needsResync(Poll.Request);
-  if (Probe || Poll.Resync || isDue(Poll.Request))
+  Poll.WithConfig = mayGetConfig(Poll.Request);
+  if (Probe || Poll.Resync || isDue(Poll))
     return answer(Poll);
+  // A held poll names a version that its sender has replaced meanwhile.
+  if (Poll.Request.Role == sync_role::Relay && !Poll.Request.Cut)
+    Poll.WithConfig = false;
   Polls.push_back(std::move(Poll));
 }
 
 void control_listener::answer(const waiting_poll &Poll) {
   const sync_request &Request = Poll.Request;
   sync_response Response;
-  bool Fresh = Context.now() - VersionSince < RelayConfigDelay;
-  bool Spared = Request.Role == sync_role::Relay && !Request.Cut && Fresh;
-  Response.Update =
-      Context.State.updateFor(Spared ? withoutConfig(Request) : Request);
+  Response.Update = Context.State.updateFor(requestOf(Poll));
   Response.Resync = Poll.Resync;
   poller &Poller = Pollers[Request.From.Node];
   bool First = Request.Cursor == log_cursor{};
@@ -262,16 +263,22 @@
   return Relays;
 }
 
-/// Other root relays read the platform at the same time; only one that does
-/// not reach it needs the configuration from here.
-bool control_listener::isDue(const sync_request &Request) const {
-  if (Request.Role != sync_role::Relay || Request.Cut)
-    return Context.State.hasNewsFor(Request);
-  return Context.State.hasNewsFor(withoutConfig(Request));
+/// Returns whether a poll that has just arrived may get a configuration. Other
+/// root relays read the platform at the same time; only one that does not reach
+/// it, or reads late, needs the configuration from here.
+bool control_listener::mayGetConfig(const sync_request &Request) const {
+  return Request.Role != sync_role::Relay || Request.Cut ||
+         Context.now() - VersionSince >= RelayConfigDelay;
 }
 
-sync_request control_listener::withoutConfig(sync_request Request) const {
-  Request.Refused = Context.State.version();
+bool control_listener::isDue(const waiting_poll &Poll) const {
+  return Context.State.hasNewsFor(requestOf(Poll));
+}
+
+sync_request control_listener::requestOf(const waiting_poll &Poll) const {
+  sync_request Request = Poll.Request;
+  if (!Poll.WithConfig)
+    Request.Refused = Context.State.version();
   return Request;
 }
 
@@ -291,7 +298,7 @@
   FlushPending = false;
   LastFlush = Context.now();
   for (auto Poll = Polls.begin(); Poll != Polls.end();) {
-    if (!isDue(Poll->Request)) {
+    if (!isDue(*Poll)) {
       ++Poll;
       continue;
     }
--- a/libs/node/src/control_listener.h
+++ b/libs/node/src/control_listener.h
@@ -60,6 +60,7 @@
     distribution::sync_request Request;
     steady_time Deadline;
     bool Resync = false;
+    bool WithConfig = true;
   };
 
   /// State of one polling peer.
@@ -89,9 +90,9 @@
   void readmit(distribution::sync_request &Request) const;
   bool needsResync(const distribution::sync_request &Request);
   void answer(const waiting_poll &Poll);
-  bool isDue(const distribution::sync_request &Request) const;
-  distribution::sync_request
-  withoutConfig(distribution::sync_request Request) const;
+  bool mayGetConfig(const distribution::sync_request &Request) const;
+  bool isDue(const waiting_poll &Poll) const;
+  distribution::sync_request requestOf(const waiting_poll &Poll) const;
   void flush();
   void tick();
 
