Add scenarios of zone moves and of two moves at once

Cause: zones out and in, alone and together with a rollout or a platform outage, had an experiment but no scenario.

--- /dev/null
+++ b/scenarios/platform_down_during_zone_return.lua
@@ -0,0 +1,44 @@
+-- Two faults at once: the platform goes down while a zone returns. The zone is
+-- used again in any case once the platform is back, and no call is lost.
+local mesh = require("mesh")
+local caller = require("caller")
+local serving = require("serving")
+local site = serving.start_site("inventaire", 3, { work_ms = 5 })
+local moved = site.servers[3]
+
+local function zone(direction)
+  local code, output = site:command({ "zone", direction, moved.node.zone,
+    "--author", "marie", "--reason", "work on the power supply" })
+  assert(code == 0, output)
+end
+
+for _, node in ipairs(site.nodes) do
+  mesh.wait_until(node.name .. " serves", 30000, function()
+    return http("GET", node.caller, "/inventaire/stock") == 200
+  end)
+end
+zone("out")
+mesh.wait_until("every node knows that the zone is out", 30000, function()
+  for _, node in ipairs(site.nodes) do
+    local status = site:status(node)
+    if not status or status.control.zones_out ~= 1 then return false end
+  end
+  return true
+end)
+local before = serving.counters(moved).ran
+
+local load = caller.start({ targets = serving.callers(site), rate = 40,
+  duration_ms = 8000, retries = 2,
+  calls = { { method = "GET", path = "/inventaire/stock" } } })
+zone("in")
+site:platform_faults({ down = true })
+local result = caller.finish(load)
+assert(caller.lost(result) == 0, json_encode(result))
+site:platform_faults({ down = false })
+mesh.wait_until("the server of the zone works again", 30000, function()
+  for _, node in ipairs(site.nodes) do
+    http("GET", node.caller, "/inventaire/stock")
+  end
+  return serving.counters(moved).ran > before + 5
+end)
+site:stop()
