--- a/libs/net/tests/streaming_test.cpp
+++ b/libs/net/tests/streaming_test.cpp
@@ -68,8 +68,11 @@
   });
   address Peer = listenOnFreePort(Server);
   std::size_t SentWhilePaused = 0;
+  std::size_t ReceivedAtPause = 0;
+  std::size_t ReceivedWhilePaused = 0;
   timer Resume(Loop, [&] {
     SentWhilePaused = Sent;
+    ReceivedWhilePaused = Received.size() - ReceivedAtPause;
     Client.resume(1);
   });
   bool Paused = false;
@@ -78,6 +81,7 @@
     Received += Part;
     if (!std::exchange(Paused, true)) {
       Client.pause(1);
+      ReceivedAtPause = Received.size();
       Resume.startOnce(50ms);
     }
   };
@@ -86,6 +90,7 @@
   CHECK(bool(*End));
   CHECK(Received.size() == Total);
   CHECK(MaxWaiting <= Bound);
+  CHECK(ReceivedWhilePaused <= 32 << 10);
   // The rest waits at the source; socket buffers of the kernel hold a part.
   CHECK(SentWhilePaused < Total);
 }
