--- a/libs/admission/src/admission_control.cpp
+++ b/libs/admission/src/admission_control.cpp
@@ -54,17 +54,19 @@
   return Started.empty() ? microseconds(0) : Baseline.needed(Route);
 }
 
-/// Calls that may wait. While the server is cold the bound shrinks with the
-/// square of the allowance: a server at a part of its allowance is slower in
-/// the same proportion, and a long wait in front of it would make it look
-/// broken to other nodes.
+/// Time that calls may wait in front of a cold server: one usual latency, or
+/// this if it is more. Other nodes eject a server whose latency exceeds that of
+/// its peers by 20 ms and a factor of 4.
+static constexpr microseconds ColdWait{20000};
+
+/// Calls that may wait. While the server is cold its queue is short: a long
+/// wait in front of it would make it look broken to other nodes.
 std::size_t admission_control::queueBound(steady_time Now) const {
-  if (ColdStart.warm(Now))
+  microseconds Mean = Baseline.mean();
+  if (ColdStart.warm(Now) || Mean.count() == 0)
     return Capacity.QueueLength;
-  double Part = double(limit()) / Capacity.Slots;
-  auto Scaled = std::size_t(Capacity.QueueLength * Part * Part);
-  return std::min<std::size_t>(Capacity.QueueLength,
-                               std::max<std::size_t>(1, Scaled));
+  auto Bound = std::size_t(std::max(ColdWait, Mean) * limit() / Mean);
+  return std::min<std::size_t>(Capacity.QueueLength, Bound);
 }
 
 void admission_control::offer(const offered_call &Call, steady_time Now) {
