--- a/libs/admission/src/cold_start_allowance.cpp
+++ b/libs/admission/src/cold_start_allowance.cpp
@@ -13,7 +13,7 @@
 /// this time, count as a restart. One stall of the machine hits all calls in
 /// flight at once, so the time must be longer than such a stall.
 static constexpr std::uint32_t RestartRun = 8;
-static constexpr milliseconds RestartSpan{100};
+static constexpr milliseconds RestartSpan{250};
 /// Time without trouble after which a server counts as warm even if its load
 /// was too low to test the full allowance.
 static constexpr milliseconds QuietTime{3000};
--- a/libs/admission/src/latency_baseline.cpp
+++ b/libs/admission/src/latency_baseline.cpp
@@ -10,7 +10,7 @@
 /// A latency is a jump from this ratio on, if it also exceeds the usual one by
 /// `NoiseFloor`. A stall of the scheduler of a few milliseconds is no jump.
 static constexpr double JumpRatio = 2;
-static constexpr microseconds NoiseFloor{5000};
+static constexpr microseconds NoiseFloor{10000};
 /// Weights of a new sample. The usual latency moves slowly, and more slowly
 /// still toward latencies that are jumps.
 static constexpr double UsualWeight = 0.02;
