--- a/libs/operator/src/status_commands.cpp
+++ b/libs/operator/src/status_commands.cpp
@@ -1,6 +1,7 @@
 #include "command_groups.h"
 #include "facts.h"
 #include "gentianlug/operator/mesh_reader.h"
+#include "gentianlug/operator/operator_errc.h"
 #include "text.h"
 
 #include <algorithm>
@@ -12,6 +13,10 @@
 /// All that `status` tells about.
 struct mesh_view {
   platform::config_head Head;
+  /// The version in force; empty when it cannot be read.
+  std::vector<config::site_configuration> Sites;
+  /// Why the version cannot be read.
+  std::string Fault;
   status_view Status;
   platform::zone_state Zones;
   rollouts_view Rollouts;
@@ -30,6 +35,13 @@
   auto Head = readHead(Store);
   if (!Head)
     return Head.failure();
+  result<std::vector<config::site_configuration>> Sites =
+      std::vector<config::site_configuration>{};
+  if (Head->Head.Version > 0)
+    Sites = readSites(Store, Head->Head.ManifestHash, {});
+  if (!Sites &&
+      Sites.failure().Code == make_error_code(operator_errc::PlatformDown))
+    return Sites.failure();
   auto Status = readStatus(Store);
   if (!Status)
     return Status.failure();
@@ -39,12 +51,27 @@
   auto Rollouts = readRollouts(Store);
   if (!Rollouts)
     return Rollouts.failure();
-  return mesh_view{std::move(Head->Head), std::move(*Status), std::move(*Zones),
-                   std::move(*Rollouts)};
+  mesh_view View{
+      std::move(Head->Head), {}, {}, std::move(*Status), std::move(*Zones),
+      std::move(*Rollouts)};
+  if (Sites)
+    View.Sites = std::move(*Sites);
+  else
+    View.Fault = Sites.failure().Detail;
+  return View;
+}
+
+static std::set<zone_name> zoneNames(const mesh_view &View) {
+  std::set<zone_name> Names;
+  for (const config::site_configuration &Site : View.Sites)
+    for (const config::availability_zone &Zone : Site.Zones)
+      Names.insert(Zone.Name);
+  return Names;
 }
 
 static void reportVersion(const mesh_view &View, command_report &Report) {
-  version_progress Progress = progressOf(View.Status.Zones, View.Head.Version);
+  version_progress Progress = progressOf(View.Status.Zones, View.Head.Version,
+                                         zoneNames(View), View.Zones);
   Report.Facts["zones"] = factsOfAll(Progress.Zones);
   Report.Facts["everywhere"] = Progress.everywhere();
   Report.Facts["refusals"] = factsOfAll(Progress.Refusals);
@@ -62,8 +89,16 @@
                                      : "It is not yet in force everywhere.");
   for (const zone_progress &Zone : Progress.Zones)
     Report.add(describe(Zone, View.Head.Version));
+  Report.Facts["silent_zones"] = nlohmann::json::array();
+  for (const zone_name &Zone : Progress.Silent) {
+    Report.add(describeSilent(Zone));
+    Report.Facts["silent_zones"].push_back(Zone.str());
+  }
   for (const platform::config_refusal &Refusal : Progress.Refusals)
     Report.add(describe(Refusal));
+  if (!View.Fault.empty())
+    Report.add("The version cannot be read from the platform: " + View.Fault +
+               ".");
 }
 
 static void reportZones(const platform::zone_state &Zones,
@@ -77,15 +112,40 @@
     Report.add("No zone is out.");
 }
 
-static void reportRollouts(const rollouts_view &View, wall_time Now,
+/// Returns the rollouts of the configuration that no controller has written a
+/// state for, as states that wait.
+static std::vector<rollout::rollout_state>
+rolloutsToStart(const mesh_view &View) {
+  std::set<std::string> Started;
+  for (const rollout::rollout_state &State : View.Rollouts.Rollouts)
+    Started.insert(State.Id);
+  std::vector<rollout::rollout_state> Waiting;
+  for (const config::site_configuration &Site : View.Sites)
+    for (const config::rollout &Rollout : Site.Rollouts) {
+      if (!Started.insert(Rollout.id()).second)
+        continue;
+      rollout::rollout_state State;
+      State.Id = Rollout.id();
+      State.Service = Rollout.Service;
+      State.Version = Rollout.Version;
+      State.FinishBy = Rollout.FinishBy;
+      Waiting.push_back(std::move(State));
+    }
+  return Waiting;
+}
+
+static void reportRollouts(const mesh_view &View, wall_time Now,
                            command_report &Report) {
+  std::vector<rollout::rollout_state> States = View.Rollouts.Rollouts;
+  for (rollout::rollout_state &State : rolloutsToStart(View))
+    States.push_back(std::move(State));
   Report.Facts["rollouts"] = nlohmann::json::array();
-  for (const rollout::rollout_state &State : View.Rollouts) {
+  for (const rollout::rollout_state &State : States) {
     Report.add(describe(State, Now));
     Report.Facts["rollouts"].push_back(factsOf(State, Now));
   }
-  if (View.Rollouts.empty())
-    Report.add("No rollout has started.");
+  if (States.empty())
+    Report.add("There is no rollout.");
 }
 
 static void reportUnreadable(const mesh_view &View, command_report &Report) {
@@ -104,7 +164,7 @@
   command_report Report;
   reportVersion(*View, Report);
   reportZones(View->Zones, Report);
-  reportRollouts(View->Rollouts, Context.Driver.wallNow(), Report);
+  reportRollouts(*View, Context.Driver.wallNow(), Report);
   reportUnreadable(*View, Report);
   return Report;
 }
