--- a/libs/operator/tests/apply_test.cpp
+++ b/libs/operator/tests/apply_test.cpp
@@ -2,6 +2,10 @@
 #include "gentianlug/operator/mesh_reader.h"
 #include "gentianlug/platform/keys.h"
 
+#include <cstdlib>
+#include <fstream>
+#include <unistd.h>
+
 using namespace gentianlug;
 using namespace gentianlug::operator_cli;
 using namespace gentianlug::operator_cli::test;
@@ -113,6 +117,46 @@
   CHECK_EQUAL(8U, version());
 }
 
+/// A file that is removed at the end of the test.
+class temporary_file {
+public:
+  explicit temporary_file(const std::string &Text) {
+    int File = mkstemp(Path.data());
+    CHECK(File >= 0);
+    close(File);
+    std::ofstream(Path) << Text;
+  }
+  ~temporary_file() { unlink(Path.c_str()); }
+  temporary_file(const temporary_file &) = delete;
+  temporary_file &operator=(const temporary_file &) = delete;
+
+  std::string Path = "/tmp/gentianlug-test-XXXXXX";
+};
+
+// Guards against a rollout near its end that blocks every other change.
+TEST(apply, ARolloutInForceKeepsItsTime) {
+  auto Apply = [this](const std::string &Limits, const std::string &Finish) {
+    temporary_file Base(R"({"services": [{"name": "a", "version": "v1",
+        "limits": {"slots": )" +
+                        Limits + R"(}}], "rollouts": [{"service": "a",
+        "version": "v2", "finish_by": ")" +
+                        Finish + R"("}]})");
+    temporary_file Overlay("{}");
+    return Bench.run(
+        {"apply", "--base", Base.Path, "--overlay", "east=" + Overlay.Path});
+  };
+  // The set clock starts at 2019-12-20T00:00:00Z.
+  CHECK_EQUAL(Success, Apply("10", "2019-12-20T00:01:00Z").Code);
+  Bench.Driver.Clock.advance(std::chrono::seconds(45));
+  CHECK_EQUAL(Success, Apply("9", "2019-12-20T00:01:00Z").Code);
+  Bench.Driver.Clock.advance(std::chrono::seconds(45));
+  CHECK_EQUAL(Success, Apply("8", "2019-12-20T00:01:00Z").Code);
+  auto Late = Apply("8", "2019-12-20T00:01:35Z");
+  CHECK_EQUAL(Refused, Late.Code);
+  CHECK(Bench.says(Late, "rollouts.a.finish_by: is nearer than 30 s"));
+  CHECK_EQUAL(3U, version());
+}
+
 TEST_GROUP(diff) { command_bench Bench; };
 
 // Guards against a change that is accepted unseen.
