Wait before a retry at a loaded service

Three tries within a millisecond met the same full queue. The first retry still goes to another endpoint at once; later ones, and those of a service with one endpoint, wait 20 ms, then 40 ms, with jitter.

--- a/libs/node/src/entry_call.cpp
+++ b/libs/node/src/entry_call.cpp
@@ -25,6 +25,9 @@
 /// while the call runs and its connection is lost.
 static constexpr milliseconds QuestionTimeout{500};
 static constexpr milliseconds QuestionPause{100};
+/// Mean pause before a second try at a loaded service; the next one waits twice
+/// as long.
+static constexpr milliseconds RetryPause{20};
 /// Answers up to this size are passed on when they are whole, so that a cut
 /// one can still be replaced by an error or by the answer of a retry.
 static constexpr std::size_t MaxCollectedBytes = 64 << 10;
@@ -328,19 +331,28 @@
       net::connection_choice::New);
 }
 
-void entry_call::askAgain(const attempt_ptr &Try, milliseconds Delay) {
-  Asking = true;
+/// Runs \p Action after \p Delay, unless the call ends before.
+void entry_call::runLater(milliseconds Delay, std::function<void()> Action) {
   auto Timer = std::make_shared<net::timer>(State.Context.Loop, [] {});
-  *Timer = net::timer(State.Context.Loop, [Self = shared_from_this(), Try,
+  *Timer = net::timer(State.Context.Loop, [Self = shared_from_this(),
+                                           Action = std::move(Action),
                                            Timer]() mutable {
     Self->State.Context.Loop.defer([Kept = std::exchange(Timer, nullptr)] {});
-    Self->Asking = false;
-    Self->askState(Try);
-    Self->settle();
+    if (!Self->Done)
+      Action();
   });
   Timer->startOnce(Delay);
 }
 
+void entry_call::askAgain(const attempt_ptr &Try, milliseconds Delay) {
+  Asking = true;
+  runLater(Delay, [this, Try] {
+    Asking = false;
+    askState(Try);
+    settle();
+  });
+}
+
 /// Gives a recorded answer its own status; the reply to the question has 200.
 static void restoreStatus(net::http_response &Recorded) {
   if (const std::string *Status = Recorded.Headers.find(CallStatusHeader))
@@ -400,13 +412,26 @@
   if (!Decision.Retry)
     return false;
   State.Context.Metrics.count("gentianlug_retries_total");
-  sendTry();
+  if (Outcome != try_outcome::NotRun) {
+    sendTry();
+    return true;
+  }
+  // The first retry goes to another endpoint at once. Later ones, and those of
+  // a service with one endpoint, wait: a full queue needs time to get shorter.
+  milliseconds Delay(0);
+  if (Tries > 1 || State.Table.endpoints(Details.Service->Name).size() < 2)
+    Delay = drawJitter(State.Gen, RetryPause * Tries);
+  RetryPending = true;
+  runLater(std::min(Delay, Ended.TimeLeft / 2), [this] {
+    RetryPending = false;
+    sendTry();
+  });
   return true;
 }
 
 /// Ends the call with an error when nothing can answer it any more.
 void entry_call::settle() {
-  if (Done || Asking || !UnderWay.empty())
+  if (Done || Asking || RetryPending || !UnderWay.empty())
     return;
   if (MayHaveRun)
     return fail(502, OutcomeUnknown, LastReason);
--- a/libs/node/src/entry_call.h
+++ b/libs/node/src/entry_call.h
@@ -66,6 +66,7 @@
   void askState(const attempt_ptr &Try);
   void onState(const attempt_ptr &Try, result<net::http_response> Reply);
   void askAgain(const attempt_ptr &Try, std::chrono::milliseconds Delay);
+  void runLater(std::chrono::milliseconds Delay, std::function<void()> Action);
 
   bool retry(routing::try_outcome Outcome, const std::string &Reason);
   void settle();
@@ -95,6 +96,8 @@
   /// Some try may have run.
   bool MayHaveRun = false;
   bool RetryForbidden = false;
+  /// A retry waits for its time.
+  bool RetryPending = false;
   /// Part of the answer is on its way to the caller.
   bool AnswerStarted = false;
   bool Done = false;
