--- a/libs/net/src/detail/server_connections.cpp
+++ b/libs/net/src/detail/server_connections.cpp
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string_view>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -110,12 +111,19 @@
   evhttp_connection_free(Connection.Http);
 }
 
+/// A request may have arrived that the loop has not read yet; closing its
+/// connection would lose it.
+static bool hasUnreadBytes(bufferevent *Stream) {
+  int Count = 0;
+  return ioctl(bufferevent_getfd(Stream), FIONREAD, &Count) == 0 && Count > 0;
+}
+
 void server_connections::closeIdle() {
   ClosingIdle = true;
   for (auto &[Stream, Connection] : Connections) {
     bool Sending = evbuffer_get_length(bufferevent_get_output(Stream)) > 0;
     if (Connection->Phase == server_connection::phase::Idle && !Sending &&
-        !isClosed(Stream))
+        !isClosed(Stream) && !hasUnreadBytes(Stream))
       shutdown(bufferevent_getfd(Stream), SHUT_RDWR);
   }
 }
--- a/libs/node/src/proxy_task.cpp
+++ b/libs/node/src/proxy_task.cpp
@@ -134,7 +134,6 @@
       Phase = stop_phase::Refusing;
       Entry.drain();
       Serving.drain();
-      Callers.closeIdle();
       return StopTimer.startOnce(RefusalTime);
     case stop_phase::Refusing:
       Phase = stop_phase::Finishing;
@@ -160,6 +159,9 @@
     Phase = stop_phase::Closing;
     Callers.stopListening();
     Peers.stopListening();
+    // Connections in use were closed with an answer by now; the others have
+    // been idle since the stop began.
+    Callers.closeIdle();
     StopTimer.startOnce(ClosingTime);
   }
 };
