Leave a closing connection of the server stand-in alone

A call canceled by its client asked to free the connection that was closing already. A new connection at the same address could have been closed instead.

--- a/standins/server_listener.cpp
+++ b/standins/server_listener.cpp
@@ -214,9 +214,11 @@
   evhttp_request *Raw = Impl->take(Id);
   if (!Raw)
     return;
-  if (evhttp_connection *Connection = evhttp_request_get_connection(Raw))
+  evhttp_connection *Connection = evhttp_request_get_connection(Raw);
+  // A connection that is closing already frees its requests itself.
+  if (Connection && Impl->Connections.count(Connection))
     Impl->freeLater(Connection);
-  else
+  else if (!Connection)
     evhttp_request_free(Raw);
 }
 
