--- a/libs/admission/tests/admission_control_test.cpp
+++ b/libs/admission/tests/admission_control_test.cpp
@@ -48,7 +48,7 @@
 
   void warmUp() {
     for (int Round = 0; Round < 60; ++Round) {
-      while (Admission.queued() < 10)
+      for (int Call = 0; Call < 12; ++Call)
         offer();
       finishAll(milliseconds(5));
     }
@@ -78,6 +78,33 @@
   CHECK_FALSE(Admission.warm(Clock.steadyNow()));
 }
 
+// Guards against a long wait in front of a cold server, which makes other
+// nodes take it for broken, and against refusals where a short wait is enough.
+TEST(admission_control, CallsWaitOnlyShortlyForAColdServer) {
+  for (int Call = 0; Call < 30; ++Call)
+    offer();
+  CHECK_EQUAL(20U, Admission.queued());
+  while (Admission.inFlight() > 0)
+    finishAll(milliseconds(10));
+  Admission.restartCold(Clock.steadyNow());
+  for (int Call = 0; Call < 30; ++Call)
+    offer();
+  CHECK_EQUAL(1U, Admission.inFlight());
+  CHECK_EQUAL(2U, Admission.queued());
+}
+
+// Guards against a small allowance that low load has left behind, and that
+// refuses a burst at a warm server.
+TEST(admission_control, AQuietServerQueuesABurst) {
+  Clock.advance(milliseconds(3000));
+  for (int Call = 0; Call < 21; ++Call)
+    offer();
+  CHECK_EQUAL(0, Refusals);
+  for (int Round = 0; Round < 8; ++Round)
+    finishAll(milliseconds(5));
+  CHECK_EQUAL(0U, Admission.queued());
+}
+
 // Guards against a late answer of an earlier life that starts cold again.
 TEST(admission_control, AnEarlierIncarnationChangesNothing) {
   warmUp();
@@ -123,7 +150,7 @@
   steady_time Restart = Clock.steadyNow();
   while (Admission.limit() < 10 || Admission.inFlight() < 10) {
     auto Bears = 1 + (Clock.steadyNow() - Restart) / milliseconds(100);
-    while (Admission.queued() < 10)
+    for (int Call = 0; Call < 12; ++Call)
       offer();
     // Calls beyond what the server bears wait inside it.
     auto Rounds = (std::int64_t(Running.size()) + Bears - 1) / Bears;
--- a/libs/node/src/control_task.cpp
+++ b/libs/node/src/control_task.cpp
@@ -35,6 +35,10 @@
 
 /// Changes within this time reach the other tasks as one snapshot.
 static constexpr milliseconds PublishDelay{5};
+
+/// Least time between two snapshots. Each one lists up to 10,000 members, and
+/// when a rack restarts, hundreds of them change one after the other.
+static constexpr milliseconds PublishPeriod{250};
 static constexpr milliseconds ReportPeriod{1000};
 
 /// A server that did not announce itself for this time counts as gone. It
@@ -94,8 +98,9 @@
   net::timer DrainTimer;
   net::timer LeaveTimer;
   bool PublishPending = false;
-  /// Whether the members changed since the last snapshot.
-  bool MembersChanged = false;
+  steady_time LastPublish{};
+  /// Generation of the members in the last snapshot.
+  std::uint64_t PublishedMembers = 0;
   /// Whether the startup gate has opened.
   bool Serving = false;
   routing_snapshot Snapshot;
@@ -123,7 +128,8 @@
                                                    Platform, Incarnation},
         Listener(Context, {changed(), Outputs.Evidence, Outputs.Steering}),
         Parent(Context, parentOutputs()),
-        Exchange(Context, {changed(), [this] { return report(); }}),
+        Exchange(Context, {changed(), [this] { return report(); },
+                           [this] { return Relay.isCut(); }}),
         Relay(Context, relayOutputs()), Seeds(Context),
         Gate(Clock.steadyNow(), Settings.SeedPeers.size()),
         PublishTimer(Loop, [this] { publish(); }),
@@ -339,11 +345,11 @@
   }
 
   std::size_t zoneSize() const {
-    std::vector<member_record> All = State.members().all();
-    return std::size_t(
-        std::count_if(All.begin(), All.end(), [this](const auto &Record) {
-          return Record.Zone == Settings.Zone;
-        }));
+    std::size_t Size = 0;
+    State.members().forEach([&](const member_record &Record) {
+      Size += Record.Zone == Settings.Zone ? 1 : 0;
+    });
+    return Size;
   }
 
   // The end.
@@ -386,25 +392,28 @@
     if (Outcome.Refusal)
       onRefused(*Outcome.Refusal);
     if (Outcome.ConfigChanged) {
-      noteInForce();
       logEvent(event::ConfigInForce,
                "version " + std::to_string(State.version()));
       Relay.onReportChanged();
     }
     if (Outcome.LiveChanged)
       decodeLive();
-    MembersChanged = MembersChanged || Outcome.MembersChanged;
     if (!Outcome.ConfigChanged && !Outcome.LiveChanged &&
         !Outcome.MembersChanged)
       return;
     Listener.onStateChanged();
     startup();
-    schedulePublish();
+    if (Outcome.ConfigChanged || Outcome.LiveChanged ||
+        State.members().routingGeneration() != PublishedMembers)
+      schedulePublish();
   }
 
   void schedulePublish() {
-    if (!std::exchange(PublishPending, true))
-      PublishTimer.startOnce(PublishDelay);
+    if (std::exchange(PublishPending, true))
+      return;
+    auto Since =
+        std::chrono::duration_cast<milliseconds>(Context.now() - LastPublish);
+    PublishTimer.startOnce(std::max(PublishDelay, PublishPeriod - Since));
   }
 
   void noteInForce() {
@@ -463,9 +472,13 @@
 
   void publish() {
     PublishPending = false;
+    LastPublish = Context.now();
+    if (Serving && Snapshot.Configuration != State.configuration())
+      noteInForce();
     if (Serving)
       Snapshot.Configuration = State.configuration();
-    if (std::exchange(MembersChanged, false))
+    if (std::exchange(PublishedMembers, State.members().routingGeneration()) !=
+        State.members().routingGeneration())
       Snapshot.Members = std::make_shared<const std::vector<member_record>>(
           State.members().serving());
     Outputs.Routing(std::make_shared<const routing_snapshot>(Snapshot));
@@ -492,7 +505,7 @@
       Own.State =
           Server.Draining ? member_state::Draining : member_state::Serving;
     publishOwn();
-    onChanged(membersChanged());
+    schedulePublish();
   }
 
   void checkServer() {
@@ -502,6 +515,7 @@
     Snapshot.Server.reset();
     Own.State = member_state::NoServer;
     publishOwn();
+    schedulePublish();
   }
 
   // Reports.
@@ -592,7 +606,10 @@
         {"config_version", State.version()},
         {"in_force_at_ms", Recent.empty() ? 0 : toMillis(Recent.back().second)},
         {"recent", recentToJson()},
+        {"served_version",
+         Snapshot.Configuration ? Snapshot.Configuration->Version : 0},
         {"members", State.members().size()},
+        {"live_members", State.members().liveCount()},
         {"zones_out", Snapshot.ZonesOut.size()},
         {"rollouts", Snapshot.Rollouts.size()},
         {"parent", Own.Parent.str()},
--- a/libs/node/src/serving_call.h
+++ b/libs/node/src/serving_call.h
@@ -5,6 +5,7 @@
 #include "gentianlug/admission/admission_control.h"
 #include "gentianlug/admission/call_ledger.h"
 #include "gentianlug/net/http_server.h"
+#include "gentianlug/net/timer.h"
 
 namespace gentianlug::node {
 
@@ -28,6 +29,10 @@
 std::uint32_t readAttempt(const net::http_request &Request,
                           std::uint32_t Missing);
 
+/// Reads the age of the last attempt from a question. Without the field the
+/// attempt may be as old as the ledger remembers calls.
+std::chrono::milliseconds readAttemptAge(const net::http_request &Request);
+
 /// A call at the serving node, until its answer has been passed on.
 struct serving_call {
   call_details Details;
@@ -40,6 +45,9 @@
   /// The call was handed to the connection to the server.
   bool Sent = false;
   answer_relay Relay;
+  /// Runs while the connection of the call has ended with the answer to another
+  /// call and its own answer may still come on that other connection.
+  std::unique_ptr<net::timer> StrayTimer;
 };
 
 admission::recorded_answer toRecord(const net::http_response &Answer);
