--- a/libs/node/src/rollout_task.cpp
+++ b/libs/node/src/rollout_task.cpp
@@ -26,8 +26,9 @@
 static constexpr int MaxMessagesUnderWay = 1024;
 /// Longest time at a stop for giving the lease up.
 static constexpr milliseconds LongestRelease{1000};
-/// Length of the steps of the baseline.
-static constexpr milliseconds FixedStep{8000};
+/// Length of the steps of the baseline; its six steps fit into the windows of
+/// the experiment.
+static constexpr milliseconds FixedStep{6000};
 
 /// Write ids must differ between nodes with one configured seed, and between
 /// the lives of a node.
