--- a/libs/node/src/rollout_participation.cpp
+++ b/libs/node/src/rollout_participation.cpp
@@ -52,14 +52,24 @@
   if (State.Id != Task.Rollout.id())
     return;
   Delivered = State;
+  // Notices miss a node that the controller does not know as a member yet.
+  setController(State.Controller, State.Epoch);
   Session.onDelivered(State);
 }
 
+void rollout_participation::setController(const address &Node,
+                                          std::uint64_t Epoch) {
+  if (Epoch < ControllerEpoch)
+    return;
+  Controller = Node;
+  ControllerEpoch = Epoch;
+}
+
 void rollout_participation::onNotice(const rollout::steering_notice &Notice) {
   if (Notice.RolloutId != Task.Rollout.id() ||
       !Candidacy.onNotice(Context.Clock.steadyNow(), Notice, Context.Gen))
     return;
-  Controller = Notice.Controller;
+  setController(Notice.Controller, Notice.Epoch);
   Guard.setOldErrorRate(Notice.OldErrorRate);
   if (!Notice.CutReason.empty())
     cut(Notice.CutReason);
--- a/libs/node/src/rollout_participation.h
+++ b/libs/node/src/rollout_participation.h
@@ -65,6 +65,7 @@
 
 private:
   bool isDecided() const;
+  void setController(const address &Node, std::uint64_t Epoch);
   void cut(const std::string &Reason);
   void sendHeartbeat();
   void sendNotice();
@@ -77,8 +78,9 @@
   rollout::candidacy Candidacy;
   rollout::local_guard Guard;
   std::optional<rollout::rollout_state> Delivered;
-  /// Controller by the newest notice.
+  /// Controller by the newest notice or state, and its epoch.
   address Controller;
+  std::uint64_t ControllerEpoch = 0;
   std::uint64_t Sequence;
   bool ServerPresent = true;
   /// Allowances of the last evidence; a server that sent none counts as cold.
--- a/libs/node/tests/rollout_schedule_test.cpp
+++ b/libs/node/tests/rollout_schedule_test.cpp
@@ -147,6 +147,7 @@
   config::service Service;
   config::rollout Rollout;
   version_kind Kind;
+  bool NoticesArrive = true;
   std::vector<std::unique_ptr<member>> Members;
   /// Faults of platform, nodes and operators happen before this.
   steady_time FaultsUntil;
@@ -306,6 +307,8 @@
   }
 
   void notify(std::size_t From, const rollout::steering_notice &Notice) {
+    if (!NoticesArrive)
+      return;
     for (std::size_t Index = 0; Index < Members.size(); ++Index)
       if (Index != From && runs(*Members[Index]))
         Members[Index]->Part->onNotice(Notice);
@@ -445,3 +448,15 @@
         CHECK(End.Phase == rollout_phase::Done);
     }
 }
+
+// Guards against a new server whose node never hears of the controller, because
+// the controller does not know it as a member: the state names the controller.
+TEST(rollout_schedule, evidenceFindsTheControllerWithoutNotices) {
+  simulated_mesh Mesh(1, version_kind::Good);
+  Mesh.FaultsUntil = {};
+  Mesh.NoticesArrive = false;
+  auto End = Mesh.Clock.steadyNow() + 60s;
+  while (Mesh.Clock.steadyNow() < End)
+    Mesh.step();
+  CHECK(Mesh.last().Phase == rollout_phase::Done);
+}
