Ask again when a node of bad_config does not answer

The script counted a node whose status or call got no answer in time like one that uses the bad version, and did not say which it was.

--- a/bench/experiments/bad_config.lua
+++ b/bench/experiments/bad_config.lua
@@ -171,9 +171,20 @@
 local function count_applied()
   local applied = 0
   for _, node in ipairs(site.nodes) do
-    local status = site:status(node)
-    if not status or status.control.config_version ~= 1 or
-      marker_status(node) ~= unknown_route then
+    local status
+    mesh.wait_until(node.name .. " answers", LIMIT_MS, function()
+      status = site:status(node)
+      return status and status.control
+    end)
+    -- Status 0 means that no answer came, which tells nothing.
+    local marker
+    mesh.wait_until(node.name .. " answers a call", LIMIT_MS, function()
+      marker = marker_status(node)
+      return marker ~= 0
+    end)
+    if status.control.config_version ~= 1 or marker ~= unknown_route then
+      print(node.name .. " holds version " .. status.control.config_version ..
+        "; the new route answers with status " .. marker)
       applied = applied + 1
     end
   end
