--- a/bench/src/worlds/lease_world.cpp
+++ b/bench/src/worlds/lease_world.cpp
@@ -118,11 +118,4 @@
     {nullptr, nullptr},
 };
 
-void openWorlds(lua_State *Lua) {
-  lua_register(Lua, "lease_world", [](lua_State *L) {
-    return pushWorld<lease_world>(L, std::size_t(luaL_checkinteger(L, 1)),
-                                  std::uint64_t(luaL_checkinteger(L, 2)));
-  });
-}
-
 } // namespace gentianlug::bench
