--- /dev/null
+++ b/libs/node/src/control_reports.cpp
@@ -0,0 +1,116 @@
+#include "control_task_impl.h"
+
+#include <ctime>
+#include <fstream>
+#include <unistd.h>
+
+namespace gentianlug::node {
+
+using distribution::tree_report;
+using std::chrono::milliseconds;
+
+/// Reports between two tries to return to the own zone.
+static constexpr unsigned ReturnRounds = 5;
+
+tree_report control_task::impl::ownReport() const {
+  tree_report Report;
+  Report.NodesByVersion[State.version()] = 1;
+  Report.Refusals = Refusals;
+  return Report;
+}
+
+tree_report control_task::impl::report() const {
+  tree_report Report = ownReport();
+  Report.merge(Listener.report());
+  return Report;
+}
+
+tree_report control_task::impl::zoneReport() const {
+  tree_report Report = report();
+  Report.merge(Listener.relayReports(Settings.Zone));
+  return Report;
+}
+
+void control_task::impl::onReportTimer() {
+  checkServer();
+  if (Relay.isRoot()) {
+    exchangeWithRelays();
+    Relay.onReportChanged();
+  } else if (++Rounds % ReturnRounds == 0) {
+    returnToOwnZone();
+  }
+  if (Listener.children().size() > 0 || Relay.isRoot())
+    checkOrphans();
+  startup();
+  reportStatus();
+}
+
+std::chrono::nanoseconds control_task::impl::threadTime() {
+  timespec Time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
+  return std::chrono::seconds(Time.tv_sec) +
+         std::chrono::nanoseconds(Time.tv_nsec);
+}
+
+void control_task::impl::measure() {
+  Metrics.gauge("gentianlug_config_version", double(State.version()));
+  Metrics.gauge("gentianlug_members", double(State.members().size()));
+  Metrics.gauge("gentianlug_children", double(Listener.children().size()));
+  Metrics.gauge("gentianlug_control_bytes_total",
+                double(Listener.bytes() + Parent.bytes() + Exchange.bytes() +
+                       Seeds.bytes()));
+  Metrics.gauge("gentianlug_resident_bytes", residentBytes());
+  Metrics.gauge("gentianlug_control_cpu_seconds_total",
+                std::chrono::duration<double>(threadTime()).count());
+}
+
+std::int64_t control_task::impl::toMillis(wall_time Time) {
+  return std::chrono::duration_cast<milliseconds>(Time.time_since_epoch())
+      .count();
+}
+
+nlohmann::json control_task::impl::recentToJson() const {
+  nlohmann::json Versions = nlohmann::json::array();
+  for (const auto &[Version, At] : Recent)
+    Versions.push_back(
+        {{"version", Version}, {"in_force_at_ms", toMillis(At)}});
+  return Versions;
+}
+
+double control_task::impl::residentBytes() {
+  std::ifstream File("/proc/self/statm");
+  double Total = 0;
+  double Resident = 0;
+  File >> Total >> Resident;
+  return Resident * double(sysconf(_SC_PAGESIZE));
+}
+
+void control_task::impl::reportStatus() {
+  measure();
+  task_report Report;
+  Report.Task = "control";
+  Report.Metrics = Metrics.render();
+  Report.StatusJson = nlohmann::json{
+      {"node", Settings.Node.str()},
+      {"availability_zone", Settings.Zone.str()},
+      {"config_version", State.version()},
+      {"in_force_at_ms", Recent.empty() ? 0 : toMillis(Recent.back().second)},
+      {"recent", recentToJson()},
+      {"served_version",
+       Snapshot.Configuration ? Snapshot.Configuration->Version : 0},
+      {"members", State.members().size()},
+      {"live_members", State.members().liveCount()},
+      {"zones_out", Snapshot.ZonesOut.size()},
+      {"rollouts", Snapshot.Rollouts.size()},
+      {"parent", Own.Parent.str()},
+      {"root_relay",
+       Relay.isRoot()}}.dump();
+  Report.Sentences.push_back(
+      State.version() == 0
+          ? "No configuration is in force on this node yet."
+          : "Configuration version " + std::to_string(State.version()) +
+                " is in force on this node.");
+  Outputs.Report(std::move(Report));
+}
+
+} // namespace gentianlug::node
