--- a/libs/distribution/include/gentianlug/distribution/relay_directory.h
+++ b/libs/distribution/include/gentianlug/distribution/relay_directory.h
@@ -38,15 +38,6 @@
   /// Returns the holders of leases that have not expired.
   std::vector<relay_entry> relays(steady_time Now) const;
 
-  /// Returns the relays that the relay \p Node of \p Zone polls: those of its
-  /// own zone and one of each other zone, the one in the same slot if it lives.
-  ///
-  /// If each root relay polled every other one, its traffic would grow with the
-  /// number of all slots: 22 KB/s at 42 relays, above the bound of 14 KB/s.
-  std::vector<relay_entry> exchangePeers(const node_id &Node,
-                                         const zone_name &Zone,
-                                         steady_time Now) const;
-
   /// Returns a free or expired slot of \p Zone, drawn among several.
   std::optional<std::uint32_t> freeSlot(const zone_name &Zone, steady_time Now,
                                         generator &Gen) const;
--- a/libs/distribution/src/relay_directory.cpp
+++ b/libs/distribution/src/relay_directory.cpp
@@ -31,29 +31,6 @@
   return Relays;
 }
 
-std::vector<relay_entry> relay_directory::exchangePeers(const node_id &Node,
-                                                        const zone_name &Zone,
-                                                        steady_time Now) const {
-  steady_time Judged = std::min(Now, LastListing);
-  std::uint32_t OwnSlot = 0;
-  for (const auto &[Key, Seen] : Slots)
-    if (Key.first == Zone && Seen.Slot.Holder == Node)
-      OwnSlot = Key.second;
-  std::vector<relay_entry> Peers;
-  for (const auto &[Key, Seen] : Slots) {
-    if (!isLive(Seen, Judged) || Seen.Slot.Holder == Node)
-      continue;
-    relay_entry Entry{Seen.Slot.Holder, Seen.Slot.Zone, Seen.Slot.Control};
-    bool SameZone = Key.first == Zone;
-    bool FirstOfZone = Peers.empty() || Peers.back().Zone != Key.first;
-    if (SameZone || FirstOfZone)
-      Peers.push_back(Entry);
-    else if (Key.second == OwnSlot)
-      Peers.back() = Entry;
-  }
-  return Peers;
-}
-
 std::optional<std::uint32_t> relay_directory::freeSlot(const zone_name &Zone,
                                                        steady_time Now,
                                                        generator &Gen) const {
--- a/libs/node/src/control_tree.cpp
+++ b/libs/node/src/control_tree.cpp
@@ -125,7 +125,7 @@
 void control_task::impl::exchangeWithRelays() {
   if (!Relay.isRoot())
     return;
-  std::vector<relay_entry> Relays = Relay.exchangePeers();
+  std::vector<relay_entry> Relays = Relay.relays();
   for (const relay_entry &Poller : Listener.relayPollers())
     if (!isAmong(Relays, Poller.Node))
       Relays.push_back(Poller);
--- a/libs/node/src/relay_role.h
+++ b/libs/node/src/relay_role.h
@@ -60,12 +60,6 @@
     return Directory.relays(Context.now());
   }
 
-  /// Returns the root relays that this one polls.
-  std::vector<distribution::relay_entry> exchangePeers() const {
-    return Directory.exchangePeers(Context.Settings.Node, Context.Settings.Zone,
-                                   Context.now());
-  }
-
   /// Notes that the zone's status may have changed.
   void onReportChanged();
 
