--- a/bench/experiments/slopes.lua
+++ b/bench/experiments/slopes.lua
@@ -3,6 +3,7 @@
 -- bounds; each row is one size.
 local mesh = require("mesh")
 local fleet = require("fleet")
+local caller = require("caller")
 local report = require("report")
 
 local zones = { "zone-1", "zone-2", "zone-3" }
@@ -57,7 +58,7 @@
     fleet.wait_members(site, count, 30000)
     sleep_ms(1000)
     local calls, start = fleet.platform_calls(site), now_ms()
-    local bytes = rates(site, "gentianlug_control_bytes_total", 4000)
+    local bytes = rates(site, "gentianlug_control_bytes_total", 6000)
     rows[#rows + 1] = { nodes = count,
       platform_calls_per_s = (fleet.platform_calls(site) - calls) * 1000 /
         (now_ms() - start),
@@ -70,6 +71,25 @@
   return rows
 end
 
+-- Processor time of one node, in all its tasks and in the control task, that
+-- one change of configuration costs. Each change makes every task take a new
+-- snapshot with all members.
+local function cost_of_changes(site, node, changes)
+  local cpu = caller.cpu_us(node.pid)
+  local control = fleet.metric(node, "gentianlug_control_cpu_seconds_total")
+  for change = 1, changes do
+    fleet.apply(site, 30, change + 1, zones)
+    site:wait_version(change + 1, 30000)
+    -- Longer than the least time between two snapshots.
+    sleep_ms(300)
+  end
+  sleep_ms(1100)
+  local control_after =
+    fleet.metric(node, "gentianlug_control_cpu_seconds_total")
+  return (caller.cpu_us(node.pid) - cpu) / 1000 / changes,
+    (control_after - control) * 1000 / changes
+end
+
 -- One relay and one child that joins when the table is full.
 local function by_members()
   local rows = {}
@@ -89,6 +109,9 @@
       join_bytes = fleet.metric(node, "gentianlug_control_bytes_total"),
       join_cpu_s = fleet.metric(node, "gentianlug_control_cpu_seconds_total"),
       resident_mb = resident_mb(node) }
+    local row = rows[#rows]
+    row.process_cpu_ms_per_change, row.control_cpu_ms_per_change =
+      cost_of_changes(site, node, 6)
     stop(site)
   end
   return rows
--- a/libs/node/include/gentianlug/node/control_task.h
+++ b/libs/node/include/gentianlug/node/control_task.h
@@ -21,7 +21,6 @@
     std::function<void(task_report)> Report;
     /// Evidence that other nodes sent for a rollout that this node controls.
     std::function<void(rollout::server_evidence)> Evidence;
-    std::function<void(rollout_view)> Rollouts;
     /// The draining state was reported toward the root, or a bound of 1 s
     /// passed.
     std::function<void()> DrainReported;
--- a/libs/node/include/gentianlug/node/messages.h
+++ b/libs/node/include/gentianlug/node/messages.h
@@ -30,13 +30,6 @@
   std::optional<wire::server_announcement> Server;
 };
 
-/// What the rollout task needs; posted whenever a part of it changes.
-struct rollout_view {
-  /// Null until a version is in force.
-  std::shared_ptr<const config::versioned_configuration> Configuration;
-  std::map<service_name, rollout::rollout_state> Rollouts;
-};
-
 /// A new or renewed announcement of the server beside this node.
 struct server_announced {
   wire::server_announcement Announcement;
--- a/libs/node/src/control_task.cpp
+++ b/libs/node/src/control_task.cpp
@@ -216,7 +216,6 @@
     Snapshot.Members = std::make_shared<const std::vector<member_record>>(
         State.members().serving());
   Outputs.Routing(std::make_shared<const routing_snapshot>(Snapshot));
-  Outputs.Rollouts({Snapshot.Configuration, Snapshot.Rollouts});
   reportStatus();
 }
 
--- a/libs/node/src/node.cpp
+++ b/libs/node/src/node.cpp
@@ -47,7 +47,6 @@
                  [this](rollout::server_evidence Evidence) {
                    Rollouts.remoteEvidence().post(std::move(Evidence));
                  },
-                 [](const rollout_view &) {},
                  [this] { Proxy.stops().post({}); },
                  [this](rollout::steering_notice Notice) {
                    Rollouts.notices().post(std::move(Notice));
--- a/libs/operator/src/commands.cpp
+++ b/libs/operator/src/commands.cpp
@@ -100,8 +100,7 @@
       Options.Words.empty() ? nullptr : findCommand(Options.Words[0]);
   if (!Command)
     return usage();
-  return std::string(Command->Help) + "\nThis is to " + Command->Summary +
-         ".\n";
+  return std::string(Command->Help) + "\nPurpose: " + Command->Summary + ".\n";
 }
 
 result<command_report> runCommand(command_context &Context) {
