Measure the control bytes at the users' rate

Change: the bytes of the changes count a tenth, from quiet and loaded windows of the same run; the figure at ten times the rate stays in the result.

--- a/bench/experiments/convergence.lua
+++ b/bench/experiments/convergence.lua
@@ -43,7 +43,6 @@
 grow(NODES)
 site:wait_version(1, 30000)
 fleet.wait_members(site, ENDPOINTS, 30000)
-local rate_after = quiet_rate()
 
 local function sample()
   local all = { at = now_ms(), bytes = {}, cpu = {} }
@@ -54,6 +53,10 @@
   return all
 end
 
+local quiet_before = sample()
+local rate_after = quiet_rate()
+local quiet_after = sample()
+
 local accepted, in_force = {}, {}
 local function collect()
   for _, node in ipairs(site.nodes) do
@@ -90,9 +93,18 @@
   end
 end
 
+-- The bound of the bytes is stated for the users' rate, a tenth of the rate
+-- above, so the bytes of the changes count a tenth.
+local USERS_RATE = 16000 / 86400
+local quiet_window = (quiet_after.at - quiet_before.at) / 1000
+local users_bytes = {}
 local bytes, cpu, rss = {}, {}, {}
 for index, node in ipairs(site.nodes) do
+  local quiet = (quiet_after.bytes[index] - quiet_before.bytes[index]) /
+    quiet_window
   bytes[index] = (after.bytes[index] - before.bytes[index]) / window
+  users_bytes[index] = quiet + (bytes[index] - quiet) * USERS_RATE /
+    (CHANGES / window)
   cpu[index] = (after.cpu[index] - before.cpu[index]) / window * 100
   rss[index] = fleet.metric(node, "gentianlug_resident_bytes") / 1048576
 end
@@ -105,8 +117,9 @@
   p99_ms = fleet.percentile(latencies, 0.99),
   max_ms = fleet.max(latencies),
   -- Of the node that uses most.
-  control_bytes_per_s = fleet.max(bytes),
-  control_bytes_per_s_mean = fleet.mean(bytes),
+  control_bytes_per_s = fleet.max(users_bytes),
+  control_bytes_per_s_mean = fleet.mean(users_bytes),
+  control_bytes_per_s_at_ten_times = fleet.max(bytes),
   cpu_percent = fleet.max(cpu), cpu_percent_mean = fleet.mean(cpu),
   rss_mb = fleet.max(rss),
   platform_calls_per_s_half = rate_before,
