--- a/libs/net/tests/streaming_test.cpp
+++ b/libs/net/tests/streaming_test.cpp
@@ -70,7 +70,9 @@
   std::size_t SentWhilePaused = 0;
   std::size_t ReceivedAtPause = 0;
   std::size_t ReceivedWhilePaused = 0;
+  bool Resumed = false;
   timer Resume(Loop, [&] {
+    Resumed = true;
     SentWhilePaused = Sent;
     ReceivedWhilePaused = Received.size() - ReceivedAtPause;
     Client.resume(1);
@@ -88,6 +90,8 @@
   CHECK(Client.stream(Peer, {}, 10s, Receiver) == 1);
   Loop.run();
   CHECK(bool(*End));
+  // Without a pause the response would end before the timer.
+  CHECK(Resumed);
   CHECK(Received.size() == Total);
   CHECK(MaxWaiting <= Bound);
   CHECK(ReceivedWhilePaused <= 32 << 10);
