--- a/bench/tests/promises_test.cpp
+++ b/bench/tests/promises_test.cpp
@@ -70,8 +70,7 @@
 
 TEST_GROUP(promises) { promises_page Page = readPage(); };
 
-// Guards against a promise or a fault without a scenario. The two rows that
-// have none say so on the page.
+// Guards against a promise or a fault without a scenario.
 TEST(promises, EveryPromiseAndFaultHasAScenario) {
   for (char Kind : {'P', 'F'})
     for (int Number = 1; Number <= 12; ++Number) {
