--- a/libs/core/include/gentianlug/core/clock.h
+++ b/libs/core/include/gentianlug/core/clock.h
@@ -27,6 +27,17 @@
   }
 };
 
+/// The clocks of the machine, where the steady time goes on while the machine
+/// is suspended. For leases, deadlines and anything that other machines measure
+/// at the same time.
+class boottime_clock final : public clock {
+public:
+  steady_time steadyNow() const override;
+  wall_time wallNow() const override {
+    return std::chrono::system_clock::now();
+  }
+};
+
 /// A clock that moves only when told to.
 class manual_clock final : public clock {
 public:
--- a/libs/core/src/core.cpp
+++ b/libs/core/src/core.cpp
@@ -1,4 +1,5 @@
 #include "gentianlug/core/address.h"
+#include "gentianlug/core/clock.h"
 #include "gentianlug/core/core_errc.h"
 #include "gentianlug/core/error_table.h"
 #include "gentianlug/core/hash.h"
@@ -7,6 +8,7 @@
 
 #include <charconv>
 #include <cstdio>
+#include <ctime>
 #include <xxhash.h>
 
 namespace gentianlug {
@@ -20,6 +22,13 @@
   return {int(Code), Category};
 }
 
+steady_time boottime_clock::steadyNow() const {
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return steady_time(std::chrono::seconds(Time.tv_sec) +
+                     std::chrono::nanoseconds(Time.tv_nsec));
+}
+
 result<address> parseAddress(std::string_view Text) {
   auto Colon = Text.rfind(':');
   if (Colon == std::string_view::npos || Colon == 0)
--- /dev/null
+++ b/libs/gateway/include/gentianlug/gateway/entry_task.h
@@ -0,0 +1,57 @@
+#ifndef GENTIANLUG_GATEWAY_ENTRY_TASK_H
+#define GENTIANLUG_GATEWAY_ENTRY_TASK_H
+
+#include "gentianlug/gateway/serving_task.h"
+#include "gentianlug/mesh/route_table.h"
+#include "gentianlug/mesh/server_picker.h"
+#include "gentianlug/mesh/version_policy.h"
+
+#include <set>
+
+namespace gentianlug::gateway {
+
+/// Where this node is.
+struct node_place {
+  node_id Node;
+  zone_name Zone;
+  /// Number of this machine; the server beside the node calls from it.
+  std::string Host;
+};
+
+/// Takes calls of callers, chooses their servers and answers them.
+///
+/// Owns the listener for callers, the connections to other nodes and what it
+/// has observed of their servers.
+class entry_task {
+public:
+  entry_task(task_context Context, node_place Place, serving_port &Local);
+  ~entry_task();
+
+  /// Errors: `net_errc::ListenFailed`.
+  result<void> listen(const address &At);
+
+  // Messages to the task.
+  void onConfiguration(std::shared_ptr<const mesh::mesh_configuration> Next);
+  void onServers(const std::vector<mesh::server_record> &Servers);
+  void onVersions(const mesh::version_policy &Versions);
+  void onZonesOut(const std::set<zone_name> &Zones);
+  /// The service beside this node, which calls of this machine are marked with.
+  void onLocalService(const service_name &Service);
+  /// Whether the configuration is known to be the newest one.
+  void onContact(bool Current);
+  /// Answers ask their clients to leave.
+  void onStop();
+  /// Closes connections without a request.
+  void closeIdle();
+
+  std::size_t underWay() const;
+  std::size_t connections() const;
+
+private:
+  struct impl;
+  std::shared_ptr<impl> Impl;
+};
+
+} // namespace gentianlug::gateway
+
+#endif // GENTIANLUG_GATEWAY_ENTRY_TASK_H
--- /dev/null
+++ b/libs/gateway/include/gentianlug/gateway/mesh_store.h
@@ -0,0 +1,55 @@
+#ifndef GENTIANLUG_GATEWAY_MESH_STORE_H
+#define GENTIANLUG_GATEWAY_MESH_STORE_H
+
+#include "gentianlug/mesh/version_policy.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace gentianlug::gateway {
+
+/// Receives what the store holds. Each call gives the whole of its kind.
+class mesh_watcher {
+public:
+  virtual ~mesh_watcher() = default;
+
+  virtual void
+  onConfiguration(std::shared_ptr<const mesh::mesh_configuration> Next) = 0;
+  virtual void onServers(std::vector<mesh::server_record> Servers) = 0;
+  virtual void
+  onBaseVersions(std::map<service_name, version_name> Versions) = 0;
+  virtual void onRollouts(std::vector<mesh::rollout_record> Rollouts) = 0;
+  virtual void onZonesOut(std::set<zone_name> Zones) = 0;
+  /// Whether what was told is known to be current.
+  virtual void onContact(bool Current) = 0;
+};
+
+/// What lasts: the only place that outlives all processes.
+class mesh_store {
+public:
+  virtual ~mesh_store() = default;
+
+  /// Starts to read and to tell \p Watcher. Unreadable objects are logged and
+  /// left out; the others hold.
+  virtual void start(mesh_watcher &Watcher) = 0;
+  /// Stores the record of this node's server. Repeats the write until it has
+  /// succeeded or a later record takes its place; \p Done runs at success.
+  virtual void publishServer(const mesh::server_record &Record,
+                             std::function<void()> Done) = 0;
+  /// Stores the version that a service has outside of rollouts. Without
+  /// \p Replace a version that is stored already stays.
+  virtual void publishBaseVersion(const service_name &Service,
+                                  const version_name &Version, bool Replace,
+                                  std::function<void(bool Stored)> Done) = 0;
+  /// Replaces the state of a rollout if the object still has the revision of
+  /// \p Record.
+  virtual void writeRollout(const mesh::rollout_record &Record,
+                            std::function<void(bool Written)> Done) = 0;
+};
+
+} // namespace gentianlug::gateway
+
+#endif // GENTIANLUG_GATEWAY_MESH_STORE_H
--- /dev/null
+++ b/libs/gateway/include/gentianlug/gateway/serving_port.h
@@ -0,0 +1,29 @@
+#ifndef GENTIANLUG_GATEWAY_SERVING_PORT_H
+#define GENTIANLUG_GATEWAY_SERVING_PORT_H
+
+#include "gentianlug/gateway/peer_call.h"
+#include "gentianlug/mesh/model.h"
+
+#include <functional>
+
+namespace gentianlug::gateway {
+
+/// Takes calls to the node beside a server.
+class serving_port {
+public:
+  using ticket = std::uint64_t;
+  using callback = std::function<void(serving_result)>;
+
+  virtual ~serving_port() = default;
+
+  /// Sends \p Request to the server of \p Target. \p Done runs once, in a later
+  /// round of the loop, unless the call is canceled.
+  virtual ticket send(const mesh::server_record &Target, const peer_call &Call,
+                      const http1::request &Request, callback Done) = 0;
+  /// Ends the call at the server too.
+  virtual void cancel(ticket Ticket) = 0;
+};
+
+} // namespace gentianlug::gateway
+
+#endif // GENTIANLUG_GATEWAY_SERVING_PORT_H
--- /dev/null
+++ b/libs/gateway/include/gentianlug/gateway/serving_task.h
@@ -0,0 +1,65 @@
+#ifndef GENTIANLUG_GATEWAY_SERVING_TASK_H
+#define GENTIANLUG_GATEWAY_SERVING_TASK_H
+
+#include "gentianlug/gateway/serving_port.h"
+#include "gentianlug/gateway/task_context.h"
+#include "gentianlug/mesh/serving_gate.h"
+#include "gentianlug/rollout/evidence.h"
+
+#include <memory>
+
+namespace gentianlug::gateway {
+
+/// Where a node takes evidence of rollouts from other nodes.
+inline constexpr const char *EvidencePath = "/v1/evidence";
+
+/// The server beside this node, as its announcements describe it.
+struct local_server {
+  mesh::gated_server Gated;
+  address Address;
+  service_name Service;
+  version_name Version;
+  std::string HealthPath;
+};
+
+/// Takes calls of other nodes and of this one to the server beside this node.
+///
+/// Owns the listener for other nodes, the connections to the server and the
+/// gate in front of it.
+class serving_task final : public serving_port {
+public:
+  explicit serving_task(task_context Context);
+  ~serving_task() override;
+
+  /// Errors: `net_errc::ListenFailed`.
+  result<void> listen(const address &At);
+
+  /// Runs \p Action with evidence that other nodes send.
+  void onEvidence(std::function<void(const rollout::server_evidence &)> Action);
+
+  // Messages to the task.
+  /// The server was announced, changed, or is gone.
+  void onServer(const std::optional<local_server> &Server);
+  /// The server announced that it runs, and how long it stays cold.
+  void onServerSeen(std::chrono::milliseconds ColdFor);
+  void onClosed(const std::optional<mesh::gate_refusal> &Reason);
+  void onBounds(const mesh::mesh_bounds &Bounds, std::size_t Servers);
+  /// Takes no more calls of other nodes.
+  void onStop();
+
+  ticket send(const mesh::server_record &Target, const peer_call &Call,
+              const http1::request &Request, callback Done) override;
+  void cancel(ticket Ticket) override;
+
+  /// Returns what the server did since the last call of this function.
+  rollout::server_evidence takeEvidence();
+  std::size_t underWay() const;
+
+private:
+  struct impl;
+  std::shared_ptr<impl> Impl;
+};
+
+} // namespace gentianlug::gateway
+
+#endif // GENTIANLUG_GATEWAY_SERVING_TASK_H
--- /dev/null
+++ b/libs/gateway/include/gentianlug/gateway/task_context.h
@@ -0,0 +1,25 @@
+#ifndef GENTIANLUG_GATEWAY_TASK_CONTEXT_H
+#define GENTIANLUG_GATEWAY_TASK_CONTEXT_H
+
+#include "gentianlug/core/clock.h"
+#include "gentianlug/core/random.h"
+#include "gentianlug/gateway/call_dialect.h"
+#include "gentianlug/gateway/decision_log.h"
+#include "gentianlug/net/event_loop.h"
+#include "gentianlug/observe/metrics.h"
+
+namespace gentianlug::gateway {
+
+/// What a node shares among its tasks; everything outlives them.
+struct task_context {
+  net::event_loop &Loop;
+  const clock &Clock;
+  const call_dialect &Dialect;
+  decision_log &Log;
+  observe::metric_set &Metrics;
+  generator &Gen;
+};
+
+} // namespace gentianlug::gateway
+
+#endif // GENTIANLUG_GATEWAY_TASK_CONTEXT_H
--- /dev/null
+++ b/libs/gateway/src/decision_log.cpp
@@ -0,0 +1,79 @@
+#include "gentianlug/gateway/decision_log.h"
+
+#include <cstdio>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace gentianlug::gateway {
+
+decision_log::decision_log(int Fd, std::string Node)
+    : Fd(Fd), Node(std::move(Node)) {
+  int Flags = fcntl(Fd, F_GETFL);
+  if (Flags >= 0)
+    (void)fcntl(Fd, F_SETFL, Flags | O_NONBLOCK);
+}
+
+static void appendText(std::string &Line, std::string_view Text) {
+  Line += '"';
+  for (char Byte : Text) {
+    constexpr char FirstPrintable = 0x20;
+    constexpr char Delete = 0x7f;
+    if (Byte == '"' || Byte == '\\') {
+      Line += '\\';
+      Line += Byte;
+    } else if (Byte < FirstPrintable || Byte == Delete) {
+      // Control bytes and bytes of other encodings, which include all negative
+      // values of a signed char.
+      Line += '?';
+    } else {
+      Line += Byte;
+    }
+  }
+  Line += '"';
+}
+
+static void appendField(std::string &Line, const log_field &Field) {
+  Line.append(",\"").append(Field.Name).append("\":");
+  if (const auto *Number = std::get_if<std::int64_t>(&Field.Value))
+    Line += std::to_string(*Number);
+  else
+    appendText(Line, std::get<std::string_view>(Field.Value));
+}
+
+void decision_log::write(observe::event Code,
+                         std::initializer_list<log_field> Fields) {
+  auto [Bound, Added] = Bounds.try_emplace(Code, MaxLinesPerSecond);
+  auto Omitted = Bound->second.admit(std::chrono::steady_clock::now());
+  if (!Omitted)
+    return;
+  if (Pending.size() > MaxPendingBytes) {
+    ++Dropped;
+    return;
+  }
+  auto Wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  const observe::event_description &Row = observe::describe(Code);
+  Pending += "{\"time_ms\":" + std::to_string(Wall.count());
+  appendField(Pending, {"node", Node});
+  appendField(Pending, {"event", "GL" + std::to_string(int(Code))});
+  appendField(Pending, {"name", Row.Name});
+  for (const log_field &Field : Fields)
+    appendField(Pending, Field);
+  if (*Omitted > 0)
+    appendField(Pending, {"omitted_before", std::int64_t(*Omitted)});
+  if (Dropped > 0)
+    appendField(Pending, {"dropped_total", std::int64_t(Dropped)});
+  Pending += "}\n";
+  if (Pending.size() > FlushBytes)
+    flush();
+}
+
+void decision_log::flush() {
+  if (Pending.empty())
+    return;
+  ssize_t Written = ::write(Fd, Pending.data(), Pending.size());
+  if (Written > 0)
+    Pending.erase(0, std::size_t(Written));
+}
+
+} // namespace gentianlug::gateway
--- /dev/null
+++ b/libs/gateway/src/entry_task.cpp
@@ -0,0 +1,146 @@
+#include "gentianlug/gateway/entry_task.h"
+
+#include "entry_call.h"
+
+namespace gentianlug::gateway {
+
+using observe::event;
+
+/// Calls under way at which a node takes no more; bounds its memory.
+static constexpr std::size_t MaxCallsUnderWay = 2000;
+/// When a caller comes back to a node that knows no configuration yet.
+static constexpr std::chrono::milliseconds StartRetryAfter{300};
+
+struct entry_task::impl {
+  entry_state Entry;
+  std::unique_ptr<http1::server> Listener;
+  std::unique_ptr<mesh::route_table> Routes;
+  bool Current = false;
+
+  impl(task_context Context, node_place Place, serving_port &Local)
+      : Entry{Context, std::move(Place),
+              Local,   peer_port(Context.Loop),
+              {},      {},
+              {},      {}} {}
+
+  void answer(http1::exchange &Exchange, const std::string &CallId, int Status,
+              const char *Reason) {
+    constexpr int Unavailable = 503;
+    std::optional<std::chrono::milliseconds> RetryAfter;
+    if (Status == Unavailable)
+      RetryAfter = StartRetryAfter;
+    Entry.Context.Log.write(
+        event::CallRefused,
+        {{"call", CallId},
+         {"target", Exchange.received().Target},
+         {"status", std::int64_t(Status)},
+         {"reason", Reason},
+         {"config_version",
+          std::int64_t(Routes ? Routes->configuration().Version : 0)}});
+    Entry.Context.Metrics.count("calls_total{outcome=\"" +
+                                std::to_string(Status) + "\"}");
+    http1::response Answer;
+    Answer.Status = Status;
+    Entry.Context.Dialect.writeOwnAnswer(Answer, CallId, RetryAfter);
+    Exchange.respond(std::move(Answer));
+  }
+
+  void onRequest(std::shared_ptr<http1::exchange> Exchange) {
+    constexpr int NotFound = 404;
+    constexpr int Unavailable = 503;
+    http1::request &Request = Exchange->received();
+    removePeerFields(Request.Headers);
+    http1::removeConnectionFields(Request.Headers);
+    stated_call Stated = Entry.Context.Dialect.readCall(Request);
+    if (!Routes)
+      return answer(*Exchange, Stated.CallId, Unavailable, "no-configuration");
+    const std::string *Host = Request.Headers.find("host");
+    const mesh::route *Route = Routes->find(*Host, Request.Target);
+    // Without contact to the store the route may have been added meanwhile.
+    if (!Route)
+      return answer(*Exchange, Stated.CallId, Current ? NotFound : Unavailable,
+                    "no-route");
+    const service_name *Service =
+        mesh::route_table::drawService(*Route, Entry.Context.Gen);
+    if (!Service || Listener->underWay() > MaxCallsUnderWay)
+      return answer(*Exchange, Stated.CallId, Unavailable,
+                    Service ? "too-many-calls" : "no-weight");
+    call_plan Plan;
+    Plan.CallId = Stated.CallId;
+    Plan.Route = Route->Name;
+    Plan.Service = *Service;
+    Plan.Idempotent = Route->Kind == mesh::call_kind::Idempotent;
+    Plan.MaxAttempts = Route->MaxAttempts;
+    bool Nested = Exchange->client().Host == Entry.Place.Host;
+    Plan.Rank = Nested ? 0 : Route->Priority + 1;
+    Plan.TargetLatency = Route->TargetLatency;
+    Plan.Arrived = Entry.Context.Clock.steadyNow();
+    Plan.Deadline =
+        Plan.Arrived +
+        std::min(Stated.Deadline.value_or(Route->Timeout), Route->Timeout);
+    std::make_shared<entry_call>(Entry, std::move(Exchange), std::move(Plan))
+        ->start();
+  }
+};
+
+entry_task::entry_task(task_context Context, node_place Place,
+                       serving_port &Local)
+    : Impl(std::make_shared<impl>(Context, std::move(Place), Local)) {}
+
+entry_task::~entry_task() = default;
+
+result<void> entry_task::listen(const address &At) {
+  Impl->Listener = std::make_unique<http1::server>(
+      Impl->Entry.Context.Loop, http1::server_limits{},
+      [Self = Impl.get()](std::shared_ptr<http1::exchange> Exchange) {
+        Self->onRequest(std::move(Exchange));
+      });
+  Impl->Listener->observeRefusals(
+      [Self = Impl.get()](const address &Client, int Status) {
+        Self->Entry.Context.Log.write(
+            event::BadRequest,
+            {{"client", Client.str()}, {"status", std::int64_t(Status)}});
+      });
+  return Impl->Listener->listen(At, {});
+}
+
+void entry_task::onConfiguration(
+    std::shared_ptr<const mesh::mesh_configuration> Next) {
+  http1::server_limits Limits;
+  Limits.Message.MaxHeadBytes = Next->Limits.MaxHeadBytes;
+  Limits.Message.MaxBodyBytes = Next->Limits.MaxBodyBytes;
+  Limits.HeadTimeout = Next->Limits.HeadTimeout;
+  Limits.IdleTimeout = Next->Limits.IdleTimeout;
+  Impl->Listener->setLimits(Limits);
+  Impl->Routes = std::make_unique<mesh::route_table>(std::move(Next));
+}
+
+void entry_task::onServers(const std::vector<mesh::server_record> &Servers) {
+  Impl->Entry.Picker.update(Servers);
+}
+
+void entry_task::onVersions(const mesh::version_policy &Versions) {
+  Impl->Entry.Versions = Versions;
+}
+
+void entry_task::onZonesOut(const std::set<zone_name> &Zones) {
+  Impl->Entry.ZonesOut = Zones;
+}
+
+void entry_task::onLocalService(const service_name &Service) {
+  Impl->Entry.LocalService = Service;
+}
+
+void entry_task::onContact(bool Current) { Impl->Current = Current; }
+
+void entry_task::onStop() { Impl->Listener->startDraining(); }
+
+void entry_task::closeIdle() { Impl->Listener->closeIdle(); }
+
+std::size_t entry_task::underWay() const { return Impl->Listener->underWay(); }
+
+std::size_t entry_task::connections() const {
+  return Impl->Listener->connections();
+}
+
+} // namespace gentianlug::gateway
--- /dev/null
+++ b/libs/gateway/src/peer_port.h
@@ -0,0 +1,24 @@
+#ifndef GENTIANLUG_GATEWAY_PEER_PORT_H
+#define GENTIANLUG_GATEWAY_PEER_PORT_H
+
+#include "gentianlug/gateway/serving_port.h"
+#include "gentianlug/http1/client_pool.h"
+
+namespace gentianlug::gateway {
+
+/// Takes calls to other nodes.
+class peer_port final : public serving_port {
+public:
+  explicit peer_port(net::event_loop &Loop);
+
+  ticket send(const mesh::server_record &Target, const peer_call &Call,
+              const http1::request &Request, callback Done) override;
+  void cancel(ticket Ticket) override;
+
+private:
+  http1::client_pool Pool;
+};
+
+} // namespace gentianlug::gateway
+
+#endif // GENTIANLUG_GATEWAY_PEER_PORT_H
--- /dev/null
+++ b/libs/mesh/include/gentianlug/mesh/server_picker.h
@@ -0,0 +1,104 @@
+#ifndef GENTIANLUG_MESH_SERVER_PICKER_H
+#define GENTIANLUG_MESH_SERVER_PICKER_H
+
+#include "gentianlug/core/clock.h"
+#include "gentianlug/core/random.h"
+#include "gentianlug/mesh/model.h"
+#include "gentianlug/mesh/serving_report.h"
+
+#include <functional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace gentianlug::mesh {
+
+/// How one try of a call at a server ended, as this node saw it.
+enum class try_end : std::uint8_t {
+  /// The server answered, and not with a fault of its own.
+  Answered,
+  /// The server answered with a fault, or its answer was lost or spoiled.
+  Failed,
+  /// The node beside the server refused the call.
+  Refused,
+  /// The node beside the server was not reached.
+  Unreachable,
+  /// The caller left, or another try won; tells nothing.
+  Canceled,
+};
+
+/// What a choice depends on.
+struct pick_request {
+  const service_name &Service;
+  /// Only servers of this version.
+  const version_name &Version;
+  const zone_name &OwnZone;
+  /// Zones that operators have taken out.
+  const std::set<zone_name> &ZonesOut;
+  /// Nodes that the call has tried already; not chosen again.
+  const std::vector<node_id> &Tried;
+};
+
+/// Chooses servers by expected time, own zone first.
+///
+/// Bytes between zones are expensive, so a server of the own zone is preferred
+/// until it has no room or is much slower than the best one elsewhere. Servers
+/// that cannot be reached or that fail are left out for a growing time, of a
+/// service at most half, unless nothing else is left.
+class server_picker {
+public:
+  /// Takes over all known servers. Observations last as long as the same start
+  /// of a server does.
+  void update(const std::vector<server_record> &Servers);
+
+  /// Returns the choice, or null. Complexity: linear in the servers of the
+  /// service.
+  const server_record *pick(const pick_request &Request, generator &Gen,
+                            steady_time Now) const;
+
+  void onStarted(const node_id &Node);
+  void onEnded(const node_id &Node, try_end End,
+               const std::optional<serving_report> &Report, steady_time Now);
+
+  /// Returns whether a server of \p Service in the given version is known.
+  bool knows(const service_name &Service, const version_name &Version) const;
+  /// Returns whether a second try may be started beside a running one: some
+  /// server of the service has room to spare.
+  bool hasRoom(const pick_request &Request, steady_time Now) const;
+  /// Returns the usual time of a call at the server beside \p Node.
+  std::chrono::milliseconds serviceTime(const node_id &Node) const;
+  /// Returns how many servers of \p Service are known.
+  std::size_t count(const service_name &Service) const;
+
+private:
+  struct endpoint {
+    server_record Record;
+    std::uint32_t InFlight = 0;
+    std::uint32_t InFlightAtReport = 0;
+    std::optional<serving_report> Report;
+    steady_time ReportTime{};
+    /// Moving share of failed tries, 0 to 1.
+    double FailedShare = 0;
+    std::uint32_t FailuresInARow = 0;
+    std::uint32_t Ejections = 0;
+    steady_time EjectedUntil{};
+    steady_time RefusingUntil{};
+
+    double limit(steady_time Now) const;
+    double load(steady_time Now) const;
+    double utilization(steady_time Now) const { return load(Now) / limit(Now); }
+    double cost(steady_time Now) const;
+    bool reportIsFresh(steady_time Now) const;
+  };
+
+  std::vector<const endpoint *> candidates(const pick_request &Request,
+                                           steady_time Now) const;
+  void eject(endpoint &Endpoint, steady_time Now);
+
+  std::unordered_map<node_id, endpoint> Endpoints;
+  std::unordered_map<service_name, std::vector<node_id>> Services;
+};
+
+} // namespace gentianlug::mesh
+
+#endif // GENTIANLUG_MESH_SERVER_PICKER_H
--- /dev/null
+++ b/libs/mesh/src/server_picker.cpp
@@ -0,0 +1,211 @@
+#include "gentianlug/mesh/server_picker.h"
+
+#include <algorithm>
+
+namespace gentianlug::mesh {
+
+/// A report counts for this time; after that only the calls of this node do.
+static constexpr std::chrono::milliseconds ReportLife{1000};
+/// Assumed until the first report.
+static constexpr std::chrono::milliseconds AssumedServiceTime{50};
+/// A server of the own zone is used up to this utilization ...
+static constexpr double OwnZoneUtilization = 0.95;
+/// ... and this many times the cost of the best server anywhere.
+static constexpr double OwnZoneCostFactor = 2.5;
+/// Weight of one try in the moving share of failures.
+static constexpr double FailureWeight = 0.1;
+/// How much a failure costs, in service times.
+static constexpr double FailureCost = 6;
+static constexpr std::uint32_t FailuresToEject = 5;
+static constexpr std::chrono::milliseconds FirstEjection{500};
+static constexpr std::chrono::milliseconds LongestEjection{4000};
+/// A refusing node is left alone for this time.
+static constexpr std::chrono::milliseconds RefusalPause{100};
+
+bool server_picker::endpoint::reportIsFresh(steady_time Now) const {
+  return Report && Now - ReportTime < ReportLife;
+}
+
+double server_picker::endpoint::limit(steady_time Now) const {
+  double Limit = reportIsFresh(Now) ? Report->Limit : Record.Slots;
+  return std::max(Limit, 0.5);
+}
+
+double server_picker::endpoint::load(steady_time Now) const {
+  if (!reportIsFresh(Now))
+    return InFlight;
+  double Others =
+      double(Report->Running + Report->Queued) - double(InFlightAtReport);
+  return std::max(0.0, Others) + InFlight;
+}
+
+double server_picker::endpoint::cost(steady_time Now) const {
+  auto Time = Report ? Report->ServiceTime : AssumedServiceTime;
+  double Base = double(std::max<long long>(Time.count(), 1));
+  double Crowding = (load(Now) + 1) / limit(Now);
+  return Base * (0.5 + Crowding) * (1 + FailureCost * FailedShare);
+}
+
+void server_picker::update(const std::vector<server_record> &Servers) {
+  std::unordered_map<node_id, endpoint> Next;
+  Services.clear();
+  for (const server_record &Record : Servers) {
+    if (Record.State == server_state::Gone)
+      continue;
+    auto Old = Endpoints.find(Record.Node);
+    endpoint &Endpoint = Next[Record.Node];
+    if (Old != Endpoints.end()) {
+      if (Old->second.Record.Instance == Record.Instance &&
+          Old->second.Record.NodeAddress == Record.NodeAddress)
+        Endpoint = std::move(Old->second);
+      else
+        Endpoint.InFlight = Old->second.InFlight;
+    }
+    Endpoint.Record = Record;
+    Services[Record.Service].push_back(Record.Node);
+  }
+  Endpoints = std::move(Next);
+}
+
+std::vector<const server_picker::endpoint *>
+server_picker::candidates(const pick_request &Request, steady_time Now) const {
+  std::vector<const endpoint *> Usable;
+  std::vector<const endpoint *> Avoided;
+  auto Found = Services.find(Request.Service);
+  if (Found == Services.end())
+    return Usable;
+  for (const node_id &Node : Found->second) {
+    const endpoint &Endpoint = Endpoints.at(Node);
+    const server_record &Record = Endpoint.Record;
+    if (Record.State != server_state::Ready ||
+        Record.Version != Request.Version ||
+        Request.ZonesOut.contains(Record.Zone) ||
+        std::find(Request.Tried.begin(), Request.Tried.end(), Node) !=
+            Request.Tried.end())
+      continue;
+    bool Avoid = Now < Endpoint.EjectedUntil || Now < Endpoint.RefusingUntil;
+    (Avoid ? Avoided : Usable).push_back(&Endpoint);
+  }
+  if (!Usable.empty())
+    return Usable;
+  // Nobody else is left: those that have been left out for the longest.
+  std::sort(Avoided.begin(), Avoided.end(),
+            [](const endpoint *Left, const endpoint *Right) {
+              return std::max(Left->EjectedUntil, Left->RefusingUntil) <
+                     std::max(Right->EjectedUntil, Right->RefusingUntil);
+            });
+  if (Avoided.size() > 1)
+    Avoided.resize((Avoided.size() + 1) / 2);
+  return Avoided;
+}
+
+const server_record *server_picker::pick(const pick_request &Request,
+                                         generator &Gen,
+                                         steady_time Now) const {
+  auto All = candidates(Request, Now);
+  if (All.empty())
+    return nullptr;
+  double Best = All.front()->cost(Now);
+  for (const endpoint *Each : All)
+    Best = std::min(Best, Each->cost(Now));
+  std::vector<const endpoint *> Own;
+  for (const endpoint *Each : All)
+    if (Each->Record.Zone == Request.OwnZone &&
+        Each->utilization(Now) < OwnZoneUtilization &&
+        Each->cost(Now) <= Best * OwnZoneCostFactor)
+      Own.push_back(Each);
+  const auto &Pool = Own.empty() ? All : Own;
+  const endpoint *First = Pool[drawIndex(Gen, Pool.size())];
+  if (Pool.size() == 1)
+    return &First->Record;
+  const endpoint *Second = First;
+  while (Second == First)
+    Second = Pool[drawIndex(Gen, Pool.size())];
+  return &(Second->cost(Now) < First->cost(Now) ? Second : First)->Record;
+}
+
+bool server_picker::hasRoom(const pick_request &Request,
+                            steady_time Now) const {
+  constexpr double RoomUtilization = 0.7;
+  auto All = candidates(Request, Now);
+  return std::any_of(All.begin(), All.end(), [&](const endpoint *Each) {
+    return Each->utilization(Now) < RoomUtilization;
+  });
+}
+
+void server_picker::onStarted(const node_id &Node) {
+  auto Found = Endpoints.find(Node);
+  if (Found != Endpoints.end())
+    ++Found->second.InFlight;
+}
+
+void server_picker::eject(endpoint &Endpoint, steady_time Now) {
+  auto Time = std::min(FirstEjection * (1U << std::min(Endpoint.Ejections, 8U)),
+                       LongestEjection);
+  ++Endpoint.Ejections;
+  Endpoint.FailuresInARow = 0;
+  Endpoint.EjectedUntil = Now + Time;
+}
+
+void server_picker::onEnded(const node_id &Node, try_end End,
+                            const std::optional<serving_report> &Report,
+                            steady_time Now) {
+  auto Found = Endpoints.find(Node);
+  if (Found == Endpoints.end())
+    return;
+  endpoint &Endpoint = Found->second;
+  if (Endpoint.InFlight > 0)
+    --Endpoint.InFlight;
+  if (Report) {
+    Endpoint.Report = Report;
+    Endpoint.ReportTime = Now;
+    Endpoint.InFlightAtReport = Endpoint.InFlight;
+  }
+  switch (End) {
+  case try_end::Answered:
+    Endpoint.FailedShare *= 1 - FailureWeight;
+    Endpoint.FailuresInARow = 0;
+    Endpoint.Ejections = 0;
+    return;
+  case try_end::Failed:
+    Endpoint.FailedShare += FailureWeight * (1 - Endpoint.FailedShare);
+    if (++Endpoint.FailuresInARow >= FailuresToEject)
+      eject(Endpoint, Now);
+    return;
+  case try_end::Refused:
+    Endpoint.RefusingUntil = Now + RefusalPause;
+    return;
+  case try_end::Unreachable:
+    eject(Endpoint, Now);
+    return;
+  case try_end::Canceled:
+    return;
+  }
+}
+
+bool server_picker::knows(const service_name &Service,
+                          const version_name &Version) const {
+  auto Found = Services.find(Service);
+  if (Found == Services.end())
+    return false;
+  return std::any_of(
+      Found->second.begin(), Found->second.end(), [&](const node_id &Node) {
+        const auto &Record = Endpoints.at(Node).Record;
+        return Record.Version == Version && Record.State == server_state::Ready;
+      });
+}
+
+std::chrono::milliseconds
+server_picker::serviceTime(const node_id &Node) const {
+  auto Found = Endpoints.find(Node);
+  if (Found == Endpoints.end() || !Found->second.Report)
+    return AssumedServiceTime;
+  return Found->second.Report->ServiceTime;
+}
+
+std::size_t server_picker::count(const service_name &Service) const {
+  auto Found = Services.find(Service);
+  return Found == Services.end() ? 0 : Found->second.size();
+}
+
+} // namespace gentianlug::mesh
--- /dev/null
+++ b/libs/mesh/src/version_policy.cpp
@@ -0,0 +1,59 @@
+#include "gentianlug/mesh/version_policy.h"
+
+namespace gentianlug::mesh {
+
+void version_policy::setBase(const service_name &Service,
+                             const version_name &Version) {
+  Bases[Service] = Version;
+}
+
+const version_name *version_policy::base(const service_name &Service) const {
+  auto Rollout = Rollouts.find(Service);
+  if (Rollout != Rollouts.end() &&
+      Rollout->second.Stage == rollout_stage::Completed)
+    return &Rollout->second.Target;
+  auto Found = Bases.find(Service);
+  return Found == Bases.end() ? nullptr : &Found->second;
+}
+
+void version_policy::setRollouts(const std::vector<rollout_record> &Records) {
+  // A completed rollout moves the base, also for the time after its record is
+  // replaced by the next order or removed.
+  Rollouts.clear();
+  for (const rollout_record &Record : Records) {
+    if (Record.Stage == rollout_stage::Completed)
+      Bases[Record.Service] = Record.Target;
+    Rollouts[Record.Service] = Record;
+  }
+}
+
+const rollout_record *
+version_policy::rollout(const service_name &Service) const {
+  auto Found = Rollouts.find(Service);
+  return Found == Rollouts.end() ? nullptr : &Found->second;
+}
+
+const version_name *version_policy::choose(const service_name &Service,
+                                           generator &Gen) const {
+  const rollout_record *Rollout = rollout(Service);
+  if (Rollout && Rollout->Stage == rollout_stage::Switching)
+    return &Rollout->Target;
+  if (Rollout && Rollout->Stage == rollout_stage::Running &&
+      drawChance(Gen, Rollout->Share))
+    return &Rollout->Target;
+  return base(Service);
+}
+
+bool version_policy::mayServe(const service_name &Service,
+                              const version_name &Version) const {
+  const rollout_record *Rollout = rollout(Service);
+  const version_name *Base = base(Service);
+  if (Rollout && Rollout->Stage == rollout_stage::Switching)
+    return Version == Rollout->Target;
+  if (Rollout && Rollout->Stage == rollout_stage::Running &&
+      Version == Rollout->Target)
+    return true;
+  return Base && Version == *Base;
+}
+
+} // namespace gentianlug::mesh
