--- a/libs/gateway/include/gentianlug/gateway/entry_task.h
+++ b/libs/gateway/include/gentianlug/gateway/entry_task.h
@@ -41,6 +41,8 @@
   void onContact(bool Current);
   /// Answers ask their clients to leave.
   void onStop();
+  /// The time to stop leaves no room for another call: new ones are refused.
+  void onLastCall();
   /// Closes connections without a request.
   void closeIdle();
 
--- a/libs/gateway/src/entry_task.cpp
+++ b/libs/gateway/src/entry_task.cpp
@@ -16,6 +16,7 @@
   std::unique_ptr<http1::server> Listener;
   std::unique_ptr<mesh::route_table> Routes;
   bool Current = false;
+  bool LastCallOver = false;
 
   impl(task_context Context, node_place Place, serving_port &Local)
       : Entry{Context, std::move(Place),
@@ -52,6 +53,8 @@
     removePeerFields(Request.Headers);
     http1::removeConnectionFields(Request.Headers);
     stated_call Stated = Entry.Context.Dialect.readCall(Request);
+    if (LastCallOver)
+      return answer(*Exchange, Stated.CallId, Unavailable, "stopping");
     if (!Routes)
       return answer(*Exchange, Stated.CallId, Unavailable, "no-configuration");
     const std::string *Host = Request.Headers.find("host");
@@ -135,6 +138,8 @@
 
 void entry_task::onStop() { Impl->Listener->startDraining(); }
 
+void entry_task::onLastCall() { Impl->LastCallOver = true; }
+
 void entry_task::closeIdle() { Impl->Listener->closeIdle(); }
 
 std::size_t entry_task::underWay() const { return Impl->Listener->underWay(); }
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -19,7 +19,7 @@
 /// node is not ready; until then it serves them.
 static constexpr std::chrono::milliseconds CallerNotice{2500};
 /// Kept of the time to stop for the end of the process.
-static constexpr std::chrono::milliseconds StopReserve{400};
+static constexpr std::chrono::milliseconds StopReserve{500};
 static constexpr std::chrono::milliseconds StopCheckPeriod{50};
 static constexpr std::chrono::milliseconds LogFlushPeriod{200};
 
@@ -194,6 +194,14 @@
     publish(Run);
   }
 
+  std::chrono::milliseconds longestCall() const {
+    std::chrono::milliseconds Longest{0};
+    if (Configuration)
+      for (const mesh::route &Route : Configuration->Routes)
+        Longest = std::max(Longest, Route.Timeout);
+    return Longest;
+  }
+
   void checkStop() {
     auto Now = Context.Clock.steadyNow();
     auto Since = Now - *StopSince;
@@ -203,6 +211,9 @@
     }
     if (Since >= CallerNotice)
       Entry.closeIdle();
+    // Callers may still come: too few other nodes of the zone are ready.
+    if (Since >= Settings.Bounds.StopGrace - StopReserve - longestCall())
+      Entry.onLastCall();
     bool Idle = Entry.underWay() == 0 && Serving.underWay() == 0;
     if ((Since >= CallerNotice && Idle) ||
         Since >= Settings.Bounds.StopGrace - StopReserve) {
--- a/libs/mesh/include/gentianlug/mesh/repeat_budget.h
+++ b/libs/mesh/include/gentianlug/mesh/repeat_budget.h
@@ -8,8 +8,8 @@
 /// Part of one server in the repeats that a service may get over all nodes.
 ///
 /// Every repeat reaches some server, so the parts add up to the bound of the
-/// service. Half of the bound is given out: a node that has just started has a
-/// full part again, and repeats bring repeated calls of their own.
+/// service. Only a part of the bound is given out: a node that has just started
+/// has a full part again, and repeats bring repeated calls of their own.
 class repeat_budget {
 public:
   /// \param Servers servers of the service, at least 1.
