Let one node of each zone watch the store for the others

Change: libs/gateway/feed_task. The first node of a deterministic order relays; followers hold one question at it and get changes against what they have; a relay checks the store every 0.6 s at the reduced price and refuses its followers when it loses it; a follower then watches the store itself. Ruled out: longer waits (a change still costs a call a node), the relay tree of libs/distribution (leases cost a write every 2 s a relay; here the order comes from the table of servers).

--- a/libs/gateway/include/gentianlug/gateway/entry_task.h
+++ b/libs/gateway/include/gentianlug/gateway/entry_task.h
@@ -16,6 +16,8 @@
   zone_name Zone;
   /// Number of this machine; the server beside the node calls from it.
   std::string Host;
+  /// Bandwidth of its link.
+  std::uint32_t LinkMbps = 0;
 };
 
 /// Takes calls of callers, chooses their servers and answers them.
--- a/libs/gateway/include/gentianlug/gateway/mesh_store.h
+++ b/libs/gateway/include/gentianlug/gateway/mesh_store.h
@@ -35,6 +35,11 @@
   /// Starts to read and to tell \p Watcher. Unreadable objects are logged and
   /// left out; the others hold.
   virtual void start(mesh_watcher &Watcher) = 0;
+  /// Stops or starts to watch; a start reads everything again.
+  virtual void setWatching(bool Watching) = 0;
+  /// Asks the store often whether it still answers, so that its loss shows
+  /// within a second.
+  virtual void setPulse(bool Pulse) = 0;
   /// Stores the record of this node's server. Repeats the write until it has
   /// succeeded or a later record takes its place; \p Done runs at success.
   virtual void publishServer(const mesh::server_record &Record,
--- a/libs/gateway/include/gentianlug/gateway/serving_task.h
+++ b/libs/gateway/include/gentianlug/gateway/serving_task.h
@@ -3,6 +3,7 @@
 
 #include "gentianlug/gateway/serving_port.h"
 #include "gentianlug/gateway/task_context.h"
+#include "gentianlug/http1/server.h"
 #include "gentianlug/mesh/serving_gate.h"
 #include "gentianlug/rollout/evidence.h"
 
@@ -37,6 +38,9 @@
   /// Runs \p Action with evidence that other nodes send.
   void onEvidence(std::function<void(const rollout::server_evidence &)> Action);
 
+  /// Runs \p Action with questions of followers, see `feed_task`.
+  void onQuestion(std::function<void(std::shared_ptr<http1::exchange>)> Action);
+
   // Messages to the task.
   /// The server was announced, changed, or is gone.
   void onServer(const std::optional<local_server> &Server);
--- /dev/null
+++ b/libs/gateway/src/feed_codec.cpp
@@ -0,0 +1,256 @@
+#include "gentianlug/core/error_table.h"
+#include "gentianlug/gateway/mesh_feed.h"
+
+#include <nlohmann/json.hpp>
+
+namespace gentianlug::gateway {
+
+using nlohmann::json;
+
+static constexpr error_text FeedTexts[] = {
+    {int(feed_errc::MalformedFeed), "malformed message of a relay"},
+};
+
+std::error_code make_error_code(feed_errc Code) {
+  static const error_table Category("feed", FeedTexts);
+  return {int(Code), Category};
+}
+
+// Records travel as arrays of values in a fixed order: the two sides run the
+// same program, and names would double the bytes.
+
+static json encode(const mesh::route &Route) {
+  json Services = json::array();
+  for (const mesh::weighted_service &Each : Route.Services)
+    Services.push_back({Each.Service.str(), Each.Weight});
+  return {Route.Name.str(),      Route.Host,
+          Route.PathPrefix,      int(Route.Kind),
+          Route.Timeout.count(), Route.TargetLatency.count(),
+          Route.Priority,        Route.MaxAttempts,
+          std::move(Services)};
+}
+
+static mesh::route decodeRoute(const json &Value) {
+  mesh::route Route;
+  Route.Name = route_name(Value.at(0).get<std::string>());
+  Route.Host = Value.at(1);
+  Route.PathPrefix = Value.at(2);
+  Route.Kind = mesh::call_kind(Value.at(3).get<int>());
+  Route.Timeout = std::chrono::milliseconds(Value.at(4).get<std::int64_t>());
+  Route.TargetLatency =
+      std::chrono::milliseconds(Value.at(5).get<std::int64_t>());
+  Route.Priority = Value.at(6);
+  Route.MaxAttempts = Value.at(7);
+  for (const json &Each : Value.at(8))
+    Route.Services.push_back(
+        {service_name(Each.at(0).get<std::string>()), Each.at(1)});
+  return Route;
+}
+
+static json encode(const mesh::service &Service) {
+  return {Service.Name.str(), Service.HealthPath, Service.MaxConnections,
+          Service.WarmUp.count(), Service.ColdCallsPerSecond};
+}
+
+static mesh::service decodeService(const json &Value) {
+  mesh::service Service;
+  Service.Name = service_name(Value.at(0).get<std::string>());
+  Service.HealthPath = Value.at(1);
+  Service.MaxConnections = Value.at(2);
+  Service.WarmUp = std::chrono::milliseconds(Value.at(3).get<std::int64_t>());
+  Service.ColdCallsPerSecond = Value.at(4);
+  return Service;
+}
+
+static json encode(const mesh::server_record &Record) {
+  return {Record.Node.str(),    Record.NodeAddress.str(), Record.Instance,
+          Record.Service.str(), Record.Version.str(),     Record.Zone.str(),
+          Record.Slots,         int(Record.State),        Record.Incarnation,
+          Record.Sequence,      Record.LinkMbps};
+}
+
+/// Reads an address; throws the exception of the library for another text.
+static address decodeAddress(const json &Value) {
+  const auto &Text = Value.get_ref<const std::string &>();
+  if (Text.find(':') == 0)
+    return {};
+  auto Address = parseAddress(Text);
+  if (!Address)
+    throw json::other_error::create(502, Address.failure().message(), &Value);
+  return *Address;
+}
+
+static mesh::server_record decodeServer(const json &Value) {
+  mesh::server_record Record;
+  Record.Node = node_id(Value.at(0).get<std::string>());
+  Record.NodeAddress = decodeAddress(Value.at(1));
+  Record.Instance = Value.at(2);
+  Record.Service = service_name(Value.at(3).get<std::string>());
+  Record.Version = version_name(Value.at(4).get<std::string>());
+  Record.Zone = zone_name(Value.at(5).get<std::string>());
+  Record.Slots = Value.at(6);
+  Record.State = mesh::server_state(Value.at(7).get<int>());
+  Record.Incarnation = Value.at(8);
+  Record.Sequence = Value.at(9);
+  Record.LinkMbps = Value.at(10);
+  return Record;
+}
+
+static json encode(const mesh::rollout_record &Record) {
+  return {Record.Service.str(),
+          Record.Target.str(),
+          Record.Duration.count(),
+          int(Record.Stage),
+          Record.Share,
+          Record.Elapsed.count(),
+          Record.Controller.str(),
+          Record.ControllerAddress.str(),
+          Record.Reason,
+          Record.Revision};
+}
+
+static mesh::rollout_record decodeRollout(const json &Value) {
+  mesh::rollout_record Record;
+  Record.Service = service_name(Value.at(0).get<std::string>());
+  Record.Target = version_name(Value.at(1).get<std::string>());
+  Record.Duration = std::chrono::milliseconds(Value.at(2).get<std::int64_t>());
+  Record.Stage = mesh::rollout_stage(Value.at(3).get<int>());
+  Record.Share = Value.at(4);
+  Record.Elapsed = std::chrono::milliseconds(Value.at(5).get<std::int64_t>());
+  Record.Controller = node_id(Value.at(6).get<std::string>());
+  Record.ControllerAddress = decodeAddress(Value.at(7));
+  Record.Reason = Value.at(8);
+  Record.Revision = Value.at(9);
+  return Record;
+}
+
+static json encode(const config_change &Change) {
+  json Routes = json::array();
+  for (const mesh::route &Route : Change.Routes)
+    Routes.push_back(encode(Route));
+  json Removed = json::array();
+  for (const route_name &Name : Change.Removed)
+    Removed.push_back(Name.str());
+  json Services = json::array();
+  for (const mesh::service &Service : Change.Services)
+    Services.push_back(encode(Service));
+  const mesh::caller_limits &Limits = Change.Limits;
+  return {{"version", Change.Version},
+          {"base", Change.Base},
+          {"routes", std::move(Routes)},
+          {"removed", std::move(Removed)},
+          {"services", std::move(Services)},
+          {"limits",
+           {Limits.MaxHeadBytes, Limits.MaxBodyBytes,
+            Limits.HeadTimeout.count(), Limits.IdleTimeout.count()}}};
+}
+
+static config_change decodeChange(const json &Value) {
+  config_change Change;
+  Change.Version = Value.at("version");
+  Change.Base = Value.at("base");
+  for (const json &Each : Value.at("routes"))
+    Change.Routes.push_back(decodeRoute(Each));
+  for (const json &Each : Value.at("removed"))
+    Change.Removed.emplace_back(Each.get<std::string>());
+  for (const json &Each : Value.at("services"))
+    Change.Services.push_back(decodeService(Each));
+  const json &Limits = Value.at("limits");
+  Change.Limits.MaxHeadBytes = Limits.at(0);
+  Change.Limits.MaxBodyBytes = Limits.at(1);
+  Change.Limits.HeadTimeout =
+      std::chrono::milliseconds(Limits.at(2).get<std::int64_t>());
+  Change.Limits.IdleTimeout =
+      std::chrono::milliseconds(Limits.at(3).get<std::int64_t>());
+  return Change;
+}
+
+static json encode(const mesh_orders &Orders) {
+  json Bases = json::object();
+  for (const auto &[Service, Version] : Orders.Bases)
+    Bases[Service.str()] = Version.str();
+  json Rollouts = json::array();
+  for (const mesh::rollout_record &Record : Orders.Rollouts)
+    Rollouts.push_back(encode(Record));
+  json Zones = json::array();
+  for (const zone_name &Zone : Orders.ZonesOut)
+    Zones.push_back(Zone.str());
+  return {{"bases", std::move(Bases)},
+          {"rollouts", std::move(Rollouts)},
+          {"zones_out", std::move(Zones)}};
+}
+
+static mesh_orders decodeOrders(const json &Value) {
+  mesh_orders Orders;
+  for (const auto &[Service, Version] : Value.at("bases").items())
+    Orders.Bases[service_name(Service)] =
+        version_name(Version.get<std::string>());
+  for (const json &Each : Value.at("rollouts"))
+    Orders.Rollouts.push_back(decodeRollout(Each));
+  for (const json &Each : Value.at("zones_out"))
+    Orders.ZonesOut.insert(zone_name(Each.get<std::string>()));
+  return Orders;
+}
+
+static json encode(const feed_cursor &Cursor) {
+  return {Cursor.Life, Cursor.Config, Cursor.Servers, Cursor.Orders};
+}
+
+static feed_cursor readCursor(const json &Value) {
+  return {Value.at(0).get<std::string>(), Value.at(1), Value.at(2),
+          Value.at(3)};
+}
+
+std::string encodeCursor(const feed_cursor &Cursor) {
+  return encode(Cursor).dump();
+}
+
+std::string encodeUpdate(const feed_update &Update) {
+  json Value = {{"cursor", encode(Update.Cursor)},
+                {"servers_whole", Update.ServersWhole},
+                {"servers", json::array()},
+                {"servers_removed", json::array()}};
+  for (const mesh::server_record &Record : Update.Servers)
+    Value["servers"].push_back(encode(Record));
+  for (const node_id &Node : Update.ServersRemoved)
+    Value["servers_removed"].push_back(Node.str());
+  if (Update.Config)
+    Value["config"] = encode(*Update.Config);
+  if (Update.Orders)
+    Value["orders"] = encode(*Update.Orders);
+  return Value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+/// Runs \p Read on the parsed text; the exceptions of the JSON library end
+/// here.
+template <class T, class Reader>
+static result<T> decode(std::string_view Text, Reader Read) {
+  try {
+    return Read(json::parse(Text));
+  } catch (const json::exception &Failure) {
+    return makeError(feed_errc::MalformedFeed, Failure.what());
+  }
+}
+
+result<feed_cursor> decodeCursor(std::string_view Text) {
+  return decode<feed_cursor>(Text, readCursor);
+}
+
+result<feed_update> decodeUpdate(std::string_view Text) {
+  return decode<feed_update>(Text, [](const json &Value) {
+    feed_update Update;
+    Update.Cursor = readCursor(Value.at("cursor"));
+    Update.ServersWhole = Value.at("servers_whole");
+    for (const json &Each : Value.at("servers"))
+      Update.Servers.push_back(decodeServer(Each));
+    for (const json &Each : Value.at("servers_removed"))
+      Update.ServersRemoved.emplace_back(Each.get<std::string>());
+    if (Value.contains("config"))
+      Update.Config = decodeChange(Value["config"]);
+    if (Value.contains("orders"))
+      Update.Orders = decodeOrders(Value["orders"]);
+    return Update;
+  });
+}
+
+} // namespace gentianlug::gateway
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/gateway/gateway_node.h"
 
+#include "gentianlug/gateway/feed_task.h"
 #include "gentianlug/mesh/server_life.h"
 #include "gentianlug/net/timer.h"
 
@@ -30,6 +31,7 @@
   serving_task Serving;
   entry_task Entry;
   rollout_task Rollouts;
+  feed_task Feed;
   mesh::server_life Life;
   mesh::version_policy Versions;
   std::shared_ptr<const mesh::mesh_configuration> Configuration;
@@ -49,11 +51,13 @@
   net::timer StopTimer;
   net::timer FlushTimer;
 
-  impl(task_context Context, gateway_settings Wanted, mesh_store &Store)
+  impl(task_context Context, gateway_settings Wanted, mesh_store &Store,
+       mesh_watcher &Node)
       : Context(Context), Settings(std::move(Wanted)), Store(Store),
         Serving(Context), Entry(Context, Settings.Place, Serving),
         Rollouts(Context, Settings.Place.Node, Settings.NodeListener, Store,
                  Serving),
+        Feed(Context, Settings.Place, Store, Node),
         StopTimer(Context.Loop, [this] { checkStop(); }),
         FlushTimer(Context.Loop, [this] { this->Context.Log.flush(); }) {
     Entry.onLocalService(Settings.LocalService);
@@ -62,6 +66,9 @@
     Serving.onEvidence([this](const rollout::server_evidence &Evidence) {
       Rollouts.onEvidence(Evidence);
     });
+    Serving.onQuestion([this](std::shared_ptr<http1::exchange> Exchange) {
+      Feed.onQuestion(std::move(Exchange));
+    });
   }
 
   bool ready() const {
@@ -127,6 +134,7 @@
                        : Current.State;
     Record.Incarnation = Current.Incarnation;
     Record.Sequence = Current.Sequence;
+    Record.LinkMbps = Settings.Place.LinkMbps;
     return Record;
   }
 
@@ -226,7 +234,8 @@
 
 gateway_node::gateway_node(task_context Context, gateway_settings Settings,
                            mesh_store &Store)
-    : Impl(std::make_shared<impl>(Context, std::move(Settings), Store)) {}
+    : Impl(std::make_shared<impl>(Context, std::move(Settings), Store, *this)) {
+}
 
 gateway_node::~gateway_node() = default;
 
@@ -236,7 +245,7 @@
   if (auto Opened = Impl->Serving.listen(Impl->Settings.NodeListener); !Opened)
     return Opened;
   Impl->FlushTimer.startEvery(LogFlushPeriod);
-  Impl->Store.start(*this);
+  Impl->Feed.start();
   return {};
 }
 
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -1,7 +1,7 @@
 #include "gentianlug/gateway/serving_task.h"
 
+#include "gentianlug/gateway/feed_task.h"
 #include "gentianlug/http1/client_pool.h"
-#include "gentianlug/http1/server.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/wire/rollout_values.h"
 
@@ -54,6 +54,7 @@
   std::map<route_name, rollout::route_evidence> Evidence;
   std::uint64_t EvidenceSequence = 0;
   std::function<void(const rollout::server_evidence &)> TakeEvidence;
+  std::function<void(std::shared_ptr<http1::exchange>)> TakeQuestion;
 
   explicit impl(task_context Context)
       : Context(Context), Pool(Context.Loop, {}, {}),
@@ -79,6 +80,8 @@
   void onRequest(std::shared_ptr<http1::exchange> Exchange) {
     if (Exchange->received().Target == EvidencePath)
       return onEvidence(*Exchange);
+    if (Exchange->received().Target == FeedPath && TakeQuestion)
+      return TakeQuestion(std::move(Exchange));
     auto Call = takePeerCall(Exchange->received());
     if (!Call) {
       Context.Log.write(event::BadRequest, {{"peer", Exchange->client().str()},
@@ -101,8 +104,10 @@
     ticket Ticket = ++LastTicket;
     steady_time Now = now();
     steady_time Deadline = Now + Call.Deadline;
-    Calls.emplace(Ticket, serving_call{Call, std::move(Request),
-                                       std::move(Done), Now, Deadline, {}, {}});
+    Calls.emplace(
+        Ticket,
+        serving_call{
+            Call, std::move(Request), std::move(Done), Now, Deadline, {}, {}});
     Gate.offer({.Ticket = Ticket,
                 .Instance = Call.Instance,
                 .Rank = Call.Rank,
@@ -339,6 +344,11 @@
   Impl->TakeEvidence = std::move(Action);
 }
 
+void serving_task::onQuestion(
+    std::function<void(std::shared_ptr<http1::exchange>)> Action) {
+  Impl->TakeQuestion = std::move(Action);
+}
+
 void serving_task::onServer(const std::optional<local_server> &Server) {
   Impl->Server = Server;
   Impl->Gate.setServer(Server ? std::optional(Server->Gated) : std::nullopt);
--- a/libs/mesh/include/gentianlug/mesh/model.h
+++ b/libs/mesh/include/gentianlug/mesh/model.h
@@ -100,6 +100,8 @@
   incarnation_number Incarnation = 0;
   /// Number of the announcement that the record is based on.
   std::uint64_t Sequence = 0;
+  /// Bandwidth of the node's link.
+  std::uint32_t LinkMbps = 0;
 
   friend bool operator==(const server_record &,
                          const server_record &) = default;
--- a/libs/mesh/src/repeat_budget.cpp
+++ b/libs/mesh/src/repeat_budget.cpp
@@ -4,8 +4,9 @@
 
 namespace gentianlug::mesh {
 
-/// Part of the bound that is given out. Calls that a repeated run makes count as
-/// repeats too, at the service that is called, and cannot be told apart there.
+/// Part of the bound that is given out. Calls that a repeated run makes count
+/// as repeats too, at the service that is called, and cannot be told apart
+/// there.
 static constexpr double GivenOut = 0.35;
 
 void repeat_budget::configure(const mesh_bounds &Bounds, std::size_t Servers) {
--- a/libs/mesh/src/version_policy.cpp
+++ b/libs/mesh/src/version_policy.cpp
@@ -19,11 +19,16 @@
 void version_policy::setRollouts(const std::vector<rollout_record> &Records) {
   // A completed rollout moves the base, also for the time after its record is
   // replaced by the next order or removed.
-  Rollouts.clear();
+  std::unordered_map<service_name, rollout_record> Before;
+  Before.swap(Rollouts);
   for (const rollout_record &Record : Records) {
     if (Record.Stage == rollout_stage::Completed)
       Bases[Record.Service] = Record.Target;
-    Rollouts[Record.Service] = Record;
+    // Another source of the records may be a little behind.
+    auto Known = Before.find(Record.Service);
+    bool Older =
+        Known != Before.end() && Known->second.Revision > Record.Revision;
+    Rollouts[Record.Service] = Older ? Known->second : Record;
   }
 }
 
