--- a/libs/gateway/include/gentianlug/gateway/entry_task.h
+++ b/libs/gateway/include/gentianlug/gateway/entry_task.h
@@ -26,7 +26,7 @@
 /// has observed of their servers.
 class entry_task {
 public:
-  entry_task(task_context Context, node_place Place, serving_port &Local);
+  entry_task(task_context Context, node_place Place, serving_task &Local);
   ~entry_task();
 
   /// Errors: `net_errc::ListenFailed`.
@@ -49,7 +49,8 @@
   void closeIdle();
 
   std::size_t underWay() const;
-  std::size_t connections() const;
+  /// Returns the bytes of answers that wait to be sent to callers.
+  std::size_t unsentBytes() const;
 
 private:
   struct impl;
--- a/libs/gateway/include/gentianlug/gateway/mesh_store.h
+++ b/libs/gateway/include/gentianlug/gateway/mesh_store.h
@@ -44,6 +44,8 @@
   /// succeeded or a later record takes its place; \p Done runs at success.
   virtual void publishServer(const mesh::server_record &Record,
                              std::function<void()> Done) = 0;
+  /// Returns whether a record of this node's server is still to be stored.
+  virtual bool publishing() const = 0;
   /// Stores the version that a service has outside of rollouts. Without
   /// \p Replace a version that is stored already stays.
   virtual void publishBaseVersion(const service_name &Service,
--- a/libs/gateway/include/gentianlug/gateway/peer_call.h
+++ b/libs/gateway/include/gentianlug/gateway/peer_call.h
@@ -28,6 +28,8 @@
   bool Idempotent = false;
   /// The call has been sent to a server before.
   bool Repeat = false;
+  /// A repeated run of a server makes the call.
+  bool InheritedRepeat = false;
 
   friend bool operator==(const peer_call &, const peer_call &) = default;
 };
--- a/libs/gateway/include/gentianlug/gateway/serving_task.h
+++ b/libs/gateway/include/gentianlug/gateway/serving_task.h
@@ -29,7 +29,8 @@
 /// gate in front of it.
 class serving_task final : public serving_port {
 public:
-  explicit serving_task(task_context Context);
+  /// \param LinkMbps bandwidth of the machine's link; 0 when it has no bound.
+  serving_task(task_context Context, std::uint32_t LinkMbps);
   ~serving_task() override;
 
   /// Errors: `net_errc::ListenFailed`.
@@ -58,6 +59,10 @@
   /// Returns what the server did since the last call of this function.
   rollout::server_evidence takeEvidence();
   std::size_t underWay() const;
+  /// Returns the share of the calls at the server that are repeats.
+  double repeatShare() const;
+  /// Asks for the bytes that other listeners of the node have to send.
+  void shareLinkWith(std::function<std::size_t()> UnsentBytes);
 
 private:
   struct impl;
--- a/libs/gateway/src/entry_call.cpp
+++ b/libs/gateway/src/entry_call.cpp
@@ -21,6 +21,9 @@
 static constexpr int SecondTryFactor = 4;
 /// ... and after this part of the time to the deadline at the earliest.
 static constexpr double SecondTryPart = 0.4;
+/// Weight of one answer in the moving average of answer sizes.
+static constexpr double SizeWeight = 0.1;
+static constexpr std::size_t MaxRoutesLearned = 10000;
 /// When a refused caller is asked to come back, as part of the target latency.
 static constexpr double RetryAfterPart = 0.4;
 
@@ -60,7 +63,13 @@
 }
 
 mesh::pick_request entry_call::pickRequest() const {
-  return {Plan.Service, Version, Entry.Place.Zone, Entry.ZonesOut, Tried};
+  auto Size = Entry.AnswerBytes.find(Plan.Route);
+  return {Plan.Service,
+          Version,
+          Entry.Place.Zone,
+          Entry.ZonesOut,
+          Tried,
+          Size == Entry.AnswerBytes.end() ? 0 : std::size_t(Size->second)};
 }
 
 void entry_call::tryNext() {
@@ -85,6 +94,12 @@
     Version = *Base;
 }
 
+serving_port &entry_call::portOf(bool AtLocal) {
+  if (AtLocal)
+    return Entry.Local;
+  return Entry.Peers;
+}
+
 void entry_call::send(const mesh::server_record &Target) {
   auto Self = shared_from_this();
   peer_call Call;
@@ -100,11 +115,12 @@
   Call.Rank = Plan.Rank;
   Call.Idempotent = Plan.Idempotent;
   Call.Repeat = Arrivals > 0;
+  Call.InheritedRepeat = Plan.InheritedRepeat;
   node_id Node = Target.Node;
   Tried.push_back(Node);
   Entry.Picker.onStarted(Node);
   bool AtLocal = Node == Entry.Place.Node;
-  serving_port &Port = AtLocal ? Entry.Local : Entry.Peers;
+  serving_port &Port = portOf(AtLocal);
   auto Ticket = Port.send(Target, Call, Exchange->received(),
                           [Self, Node](serving_result Result) {
                             Self->onEnded(Node, std::move(Result));
@@ -181,9 +197,19 @@
   tryNext();
 }
 
+void entry_call::learnSize(std::size_t Bytes) {
+  if (Entry.AnswerBytes.size() > MaxRoutesLearned)
+    Entry.AnswerBytes.clear();
+  auto [Found, Added] =
+      Entry.AnswerBytes.try_emplace(Plan.Route, double(Bytes));
+  Found->second += SizeWeight * (double(Bytes) - Found->second);
+}
+
 void entry_call::onAnswered(serving_result Result) {
   constexpr int FirstServerError = 500;
   bool Failed = Result.Answer.Status >= FirstServerError;
+  if (!Failed)
+    learnSize(Result.Answer.Body.size());
   if (Failed && Plan.Idempotent) {
     MayHaveRun = true;
     ServerFailure = std::move(Result.Answer);
@@ -249,8 +275,7 @@
   DeadlineTimer.cancel();
   SecondTryTimer.cancel();
   for (const running_try &Try : std::exchange(Running, {})) {
-    serving_port &Port = Try.AtLocal ? Entry.Local : Entry.Peers;
-    Port.cancel(Try.Ticket);
+    portOf(Try.AtLocal).cancel(Try.Ticket);
     Entry.Picker.onEnded(Try.Node, mesh::try_end::Canceled, std::nullopt,
                          Entry.Context.Clock.steadyNow());
   }
--- a/libs/gateway/src/entry_call.h
+++ b/libs/gateway/src/entry_call.h
@@ -10,14 +10,20 @@
 
 /// State of the entry task that its calls use.
 struct entry_state {
+  entry_state(task_context Context, node_place Place, serving_task &Local)
+      : Context(Context), Place(std::move(Place)), Local(Local),
+        Peers(Context.Loop) {}
+
   task_context Context;
   node_place Place;
-  serving_port &Local;
+  serving_task &Local;
   peer_port Peers;
   mesh::server_picker Picker;
   mesh::version_policy Versions;
   std::set<zone_name> ZonesOut;
   service_name LocalService;
+  /// Moving average of the answer sizes of each route, in bytes.
+  std::unordered_map<route_name, double> AnswerBytes;
 };
 
 /// What was decided about a call when it arrived.
@@ -28,6 +34,7 @@
   bool Idempotent = false;
   std::uint32_t MaxAttempts = 1;
   std::uint32_t Rank = 0;
+  bool InheritedRepeat = false;
   std::chrono::milliseconds TargetLatency{0};
   steady_time Arrived;
   steady_time Deadline;
@@ -53,9 +60,11 @@
   /// room must not cost calls that the old one can take.
   void leaveNewVersion();
   void send(const mesh::server_record &Target);
+  serving_port &portOf(bool AtLocal);
   void onEnded(const node_id &Node, serving_result Result);
   void onRefused(const std::string &Reason);
   void onAnswered(serving_result Result);
+  void learnSize(std::size_t Bytes);
   void onDeadline();
   void startSecondTry();
   void onCallerGone();
--- a/libs/gateway/src/entry_task.cpp
+++ b/libs/gateway/src/entry_task.cpp
@@ -18,11 +18,8 @@
   bool Current = false;
   bool LastCallOver = false;
 
-  impl(task_context Context, node_place Place, serving_port &Local)
-      : Entry{Context, std::move(Place),
-              Local,   peer_port(Context.Loop),
-              {},      {},
-              {},      {}} {}
+  impl(task_context Context, node_place Place, serving_task &Local)
+      : Entry(Context, std::move(Place), Local) {}
 
   void answer(http1::exchange &Exchange, const std::string &CallId, int Status,
               const char *Reason) {
@@ -76,6 +73,10 @@
     Plan.MaxAttempts = Route->MaxAttempts;
     bool Nested = Exchange->client().Host == Entry.Place.Host;
     Plan.Rank = Nested ? 0 : Route->Priority + 1;
+    // The call does not say which run it belongs to, so the share of repeats
+    // among the runs decides by lot.
+    Plan.InheritedRepeat =
+        Nested && drawChance(Entry.Context.Gen, Entry.Local.repeatShare());
     Plan.TargetLatency = Route->TargetLatency;
     Plan.Arrived = Entry.Context.Clock.steadyNow();
     Plan.Deadline =
@@ -87,7 +88,7 @@
 };
 
 entry_task::entry_task(task_context Context, node_place Place,
-                       serving_port &Local)
+                       serving_task &Local)
     : Impl(std::make_shared<impl>(Context, std::move(Place), Local)) {}
 
 entry_task::~entry_task() = default;
@@ -144,8 +145,8 @@
 
 std::size_t entry_task::underWay() const { return Impl->Listener->underWay(); }
 
-std::size_t entry_task::connections() const {
-  return Impl->Listener->connections();
+std::size_t entry_task::unsentBytes() const {
+  return Impl->Listener ? Impl->Listener->unsentBytes() : 0;
 }
 
 } // namespace gentianlug::gateway
--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -150,9 +150,8 @@
   void ask() {
     if (Relaying || Asked)
       return;
-    auto Order = complete()
-                     ? mesh::relayOrder(*Servers, Place.Zone, Place.Node)
-                     : std::vector<mesh::server_record>();
+    auto Order = complete() ? mesh::relayOrder(*Servers, Place.Zone, Place.Node)
+                            : std::vector<mesh::server_record>();
     if (Order.empty())
       return PollTimer.startOnce(drawJitter(Context.Gen, FirstFollow));
     const mesh::server_record &Relay = Order.front();
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -54,7 +54,8 @@
   impl(task_context Context, gateway_settings Wanted, mesh_store &Store,
        mesh_watcher &Node)
       : Context(Context), Settings(std::move(Wanted)), Store(Store),
-        Serving(Context), Entry(Context, Settings.Place, Serving),
+        Serving(Context, Settings.Place.LinkMbps),
+        Entry(Context, Settings.Place, Serving),
         Rollouts(Context, Settings.Place.Node, Settings.NodeListener, Store,
                  Serving),
         Feed(Context, Settings.Place, Store, Node),
@@ -66,6 +67,7 @@
     Serving.onEvidence([this](const rollout::server_evidence &Evidence) {
       Rollouts.onEvidence(Evidence);
     });
+    Serving.shareLinkWith([this] { return Entry.unsentBytes(); });
     Serving.onQuestion([this](std::shared_ptr<http1::exchange> Exchange) {
       Feed.onQuestion(std::move(Exchange));
     });
@@ -222,7 +224,9 @@
     // Callers may still come: too few other nodes of the zone are ready.
     if (Since >= Settings.Bounds.StopGrace - StopReserve - longestCall())
       Entry.onLastCall();
-    bool Idle = Entry.underWay() == 0 && Serving.underWay() == 0;
+    // The next life of the node must know that its server leaves.
+    bool Idle = Entry.underWay() == 0 && Serving.underWay() == 0 &&
+                !Store.publishing();
     if ((Since >= CallerNotice && Idle) ||
         Since >= Settings.Bounds.StopGrace - StopReserve) {
       StopTimer.cancel();
--- a/libs/gateway/src/peer_call.cpp
+++ b/libs/gateway/src/peer_call.cpp
@@ -10,7 +10,7 @@
 // separated by semicolons: one field costs less than one for each value.
 static constexpr const char *CallField = "gl-call";
 static constexpr const char *ServingField = "gl-serving";
-static constexpr std::size_t CallValues = 9;
+static constexpr std::size_t CallValues = 10;
 static constexpr std::size_t ServingValues = 6;
 
 static constexpr std::array<std::string_view, 5> EndWords = {
@@ -54,7 +54,8 @@
   Value.append(std::to_string(Call.MaxWait.count())).append(";");
   Value.append(std::to_string(Call.Rank)).append(";");
   Value.append(Call.Idempotent ? "1;" : "0;");
-  Value.append(Call.Repeat ? "1" : "0");
+  Value.append(Call.Repeat ? "1;" : "0;");
+  Value.append(Call.InheritedRepeat ? "1" : "0");
   Request.Headers.add(CallField, std::move(Value));
 }
 
@@ -73,6 +74,7 @@
     return std::nullopt;
   Call.Idempotent = Parts[7] == "1";
   Call.Repeat = Parts[8] == "1";
+  Call.InheritedRepeat = Parts[9] == "1";
   Request.Headers.remove(CallField);
   return Call;
 }
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -23,6 +23,9 @@
 static constexpr std::uint32_t LostToAsk = 3;
 static constexpr std::chrono::milliseconds ProbePeriod{300};
 static constexpr std::chrono::milliseconds ProbeTimeout{1000};
+/// Weight of one answer in the moving average of answer sizes.
+static constexpr double SizeWeight = 0.1;
+static constexpr std::size_t MaxRoutesLearned = 10000;
 
 namespace {
 
@@ -51,16 +54,24 @@
   net::timer ProbeLimit;
   std::optional<http1::client_pool::ticket> Probe;
   std::uint32_t LostInARow = 0;
+  /// Instance that has announced itself to this life of the node.
+  std::string SeenInstance;
   std::map<route_name, rollout::route_evidence> Evidence;
   std::uint64_t EvidenceSequence = 0;
   std::function<void(const rollout::server_evidence &)> TakeEvidence;
   std::function<void(std::shared_ptr<http1::exchange>)> TakeQuestion;
 
-  explicit impl(task_context Context)
+  std::unordered_map<route_name, double> AnswerBytes;
+  std::function<std::size_t()> OtherUnsent;
+
+  impl(task_context Context, std::uint32_t LinkMbps)
       : Context(Context), Pool(Context.Loop, {}, {}),
         GateTimer(Context.Loop, [this] { advance(); }),
         ProbeTimer(Context.Loop, [this] { probe(); }),
-        ProbeLimit(Context.Loop, [this] { endProbe(); }) {}
+        ProbeLimit(Context.Loop, [this] { endProbe(); }) {
+    constexpr double BytesPerMegabit = 125000;
+    Gate.setLinkBytesPerSecond(LinkMbps * BytesPerMegabit);
+  }
 
   steady_time now() const { return Context.Clock.steadyNow(); }
 
@@ -100,6 +111,23 @@
     advance();
   }
 
+  std::size_t expectedBytes(const route_name &Route) const {
+    auto Found = AnswerBytes.find(Route);
+    return Found == AnswerBytes.end() ? 0 : std::size_t(Found->second);
+  }
+
+  void learnSize(const route_name &Route, std::size_t Bytes) {
+    if (AnswerBytes.size() > MaxRoutesLearned)
+      AnswerBytes.clear();
+    auto [Found, Added] = AnswerBytes.try_emplace(Route, double(Bytes));
+    Found->second += SizeWeight * (double(Bytes) - Found->second);
+  }
+
+  void measureLink() {
+    std::size_t Unsent = Listener ? Listener->unsentBytes() : 0;
+    Gate.setUnsentBytes(Unsent + (OtherUnsent ? OtherUnsent() : 0));
+  }
+
   ticket offer(const peer_call &Call, http1::request Request, callback Done) {
     ticket Ticket = ++LastTicket;
     steady_time Now = now();
@@ -108,12 +136,15 @@
         Ticket,
         serving_call{
             Call, std::move(Request), std::move(Done), Now, Deadline, {}, {}});
+    measureLink();
     Gate.offer({.Ticket = Ticket,
                 .Instance = Call.Instance,
                 .Rank = Call.Rank,
                 .Deadline = Deadline,
                 .MaxWait = Call.MaxWait,
-                .Repeat = Call.Repeat},
+                .Repeat = Call.Repeat,
+                .InheritedRepeat = Call.InheritedRepeat,
+                .ExpectedBytes = expectedBytes(Call.Route)},
                Now);
     return Ticket;
   }
@@ -194,6 +225,7 @@
       constexpr int FirstServerError = 500;
       bool Failed = Result.Answer.Status >= FirstServerError;
       addEvidence(Call, Failed, Time);
+      learnSize(Call.Call.Route, Result.Answer.Body.size());
       http1::removeConnectionFields(Result.Answer.Headers);
       return end(Ticket, {serving_end::Answered,
                           std::move(Result.Answer),
@@ -320,8 +352,8 @@
   }
 };
 
-serving_task::serving_task(task_context Context)
-    : Impl(std::make_shared<impl>(Context)) {}
+serving_task::serving_task(task_context Context, std::uint32_t LinkMbps)
+    : Impl(std::make_shared<impl>(Context, LinkMbps)) {}
 
 serving_task::~serving_task() = default;
 
@@ -359,6 +391,13 @@
 void serving_task::onServerSeen(std::chrono::milliseconds ColdFor) {
   if (!Impl->Server)
     return;
+  // An announcement may be late, from before the server began to leave; its
+  // own word, or a second announcement, rules that out.
+  const std::string &Instance = Impl->Server->Gated.Instance;
+  if (Impl->SeenInstance != Instance) {
+    Impl->SeenInstance = Instance;
+    return Impl->probe();
+  }
   Impl->confirm(ColdFor, "announcement");
   Impl->advance();
 }
@@ -404,6 +443,12 @@
   return Evidence;
 }
 
+double serving_task::repeatShare() const { return Impl->Gate.repeatShare(); }
+
+void serving_task::shareLinkWith(std::function<std::size_t()> UnsentBytes) {
+  Impl->OtherUnsent = std::move(UnsentBytes);
+}
+
 std::size_t serving_task::underWay() const { return Impl->Calls.size(); }
 
 } // namespace gentianlug::gateway
--- a/libs/http1/include/gentianlug/http1/server.h
+++ b/libs/http1/include/gentianlug/http1/server.h
@@ -68,6 +68,9 @@
   /// Accepts no more connections.
   void stopListening();
   std::size_t connections() const;
+  /// Returns the bytes of answers that wait to be sent. Complexity: linear in
+  /// the connections.
+  std::size_t unsentBytes() const;
   /// Returns the requests that have no answer yet.
   std::size_t underWay() const;
 
--- a/libs/http1/src/detail/server_connection.h
+++ b/libs/http1/src/detail/server_connection.h
@@ -36,6 +36,7 @@
   void closeIfIdle();
   /// Drops the connection and tells the requests under way.
   void drop();
+  std::size_t unsentBytes() const { return Socket.unsentBytes(); }
 
 private:
   friend class server_exchange;
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -112,6 +112,13 @@
 
 std::size_t server::connections() const { return Impl->Connections.size(); }
 
+std::size_t server::unsentBytes() const {
+  std::size_t Sum = 0;
+  for (const auto &[Key, Connection] : Impl->Connections)
+    Sum += Connection->unsentBytes();
+  return Sum;
+}
+
 std::size_t server::underWay() const { return Impl->State.UnderWay; }
 
 } // namespace gentianlug::http1
--- /dev/null
+++ b/libs/http1/tests/message_reader_test.cpp
@@ -0,0 +1,135 @@
+#include "gentianlug/http1/message_reader.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug::http1;
+
+static const std::string Get = "GET /a/b HTTP/1.1\r\nHost: h\r\n\r\n";
+
+static message_reader requestReader(message_limits Limits = {}) {
+  return {message_kind::Request, Limits};
+}
+
+TEST_GROUP(MessageReader){};
+
+// Guards against bytes of the next request being taken for part of this one.
+TEST(MessageReader, StopsBehindOneRequest) {
+  auto Reader = requestReader();
+  UNSIGNED_LONGS_EQUAL(Get.size(), Reader.feed(Get + Get));
+  CHECK(Reader.state() == reader_state::Complete);
+  request Request = Reader.takeRequest();
+  STRCMP_EQUAL("GET", Request.Method.c_str());
+  STRCMP_EQUAL("/a/b", Request.Target.c_str());
+  STRCMP_EQUAL("h", Request.Headers.find("HOST")->c_str());
+  CHECK(Reader.state() == reader_state::Idle);
+  Reader.feed(Get);
+  CHECK(Reader.state() == reader_state::Complete);
+}
+
+// Guards against fields that are lost when they arrive in pieces.
+TEST(MessageReader, ReadsByteByByte) {
+  auto Reader = requestReader();
+  std::string Bytes = "POST /x HTTP/1.1\r\nHost: h\r\nLong-Name: some value\r\n"
+                      "Content-Length: 3\r\n\r\nabc";
+  for (char Byte : Bytes)
+    Reader.feed({&Byte, 1});
+  CHECK(Reader.state() == reader_state::Complete);
+  request Request = Reader.takeRequest();
+  STRCMP_EQUAL("some value", Request.Headers.find("long-name")->c_str());
+  STRCMP_EQUAL("abc", Request.Body.c_str());
+}
+
+// Guards against request smuggling through framing that two readers take
+// differently.
+TEST(MessageReader, RefusesAmbiguousFraming) {
+  for (const char *Fields :
+       {"Content-Length: 1\r\nContent-Length: 2\r\n",
+        "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked, identity\r\n", "Content-Length: -1\r\n",
+        "Content-Length: 1x\r\n"}) {
+    auto Reader = requestReader();
+    Reader.feed("POST / HTTP/1.1\r\nHost: h\r\n" + std::string(Fields) +
+                "\r\na");
+    CHECK_TEXT(Reader.state() == reader_state::Failed, Fields);
+  }
+}
+
+TEST(MessageReader, ReadsChunkedBody) {
+  auto Reader = requestReader();
+  Reader.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+  CHECK(Reader.state() == reader_state::Complete);
+  STRCMP_EQUAL("abcde", Reader.takeRequest().Body.c_str());
+}
+
+// Guards against a caller that fills the memory of the node.
+TEST(MessageReader, BoundsHeadAndBody) {
+  auto Head = requestReader({.MaxHeadBytes = 100, .MaxBodyBytes = 10});
+  Head.feed("GET / HTTP/1.1\r\nHost: " + std::string(200, 'h') + "\r\n\r\n");
+  CHECK(Head.fault() == reader_fault::HeadTooLarge);
+  auto Stated = requestReader({.MaxHeadBytes = 100, .MaxBodyBytes = 10});
+  Stated.feed("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n");
+  CHECK(Stated.fault() == reader_fault::BodyTooLarge);
+  auto Chunked = requestReader({.MaxHeadBytes = 200, .MaxBodyBytes = 10});
+  Chunked.feed(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "b\r\nabcdefghijk\r\n");
+  CHECK(Chunked.fault() == reader_fault::BodyTooLarge);
+}
+
+// Guards against an answer that is cut and still looks complete.
+TEST(MessageReader, CutAnswerFails) {
+  message_reader Reader(message_kind::Response, {});
+  Reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+  Reader.finish();
+  CHECK(Reader.state() == reader_state::Failed);
+}
+
+TEST(MessageReader, AnswerWithoutLengthEndsWithItsConnection) {
+  message_reader Reader(message_kind::Response, {});
+  Reader.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+  CHECK(Reader.state() == reader_state::Body);
+  Reader.finish();
+  CHECK(Reader.state() == reader_state::Complete);
+  response Answer = Reader.takeResponse();
+  STRCMP_EQUAL("abc", Answer.Body.c_str());
+  CHECK_FALSE(Answer.KeepAlive);
+}
+
+TEST(MessageReader, SkipsInterimAnswers) {
+  message_reader Reader(message_kind::Response, {});
+  Reader.feed("HTTP/1.1 100 Continue\r\n\r\n"
+              "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+  CHECK(Reader.state() == reader_state::Complete);
+  LONGS_EQUAL(200, Reader.takeResponse().Status);
+}
+
+TEST(MessageReader, BytesThatAreNoAnswerFail) {
+  message_reader Reader(message_kind::Response, {});
+  Reader.feed("\x01\x02garbage\r\n\r\n");
+  CHECK(Reader.fault() == reader_fault::Malformed);
+}
+
+TEST_GROUP(Message){};
+
+// Guards against framing of one connection being forwarded on another.
+TEST(Message, RemovesFieldsOfTheConnection) {
+  header_list Headers;
+  for (const char *Name : {"Connection", "Keep-Alive", "Content-Length",
+                           "Transfer-Encoding", "X-Hop", "Kept"})
+    Headers.add(Name, Name == std::string("Connection") ? "close, x-hop" : "1");
+  removeConnectionFields(Headers);
+  UNSIGNED_LONGS_EQUAL(1, Headers.size());
+  CHECK(Headers.find("kept") != nullptr);
+}
+
+TEST(Message, FramesBodiesByLength) {
+  request Request;
+  Request.Method = "POST";
+  Request.Target = "/";
+  STRCMP_EQUAL("POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+               encodeHead(Request).c_str());
+  STRCMP_EQUAL("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+               "Connection: close\r\n\r\n",
+               encodeHead(statusAnswer(503), false).c_str());
+}
--- a/libs/mesh/include/gentianlug/mesh/repeat_budget.h
+++ b/libs/mesh/include/gentianlug/mesh/repeat_budget.h
@@ -8,8 +8,8 @@
 /// Part of one server in the repeats that a service may get over all nodes.
 ///
 /// Every repeat reaches some server, so the parts add up to the bound of the
-/// service. Only a part of the bound is given out: a node that has just started
-/// has a full part again, and repeats bring repeated calls of their own.
+/// service. Not all of it is given out: a node that has just started has a full
+/// part again.
 class repeat_budget {
 public:
   /// \param Servers servers of the service, at least 1.
@@ -18,6 +18,9 @@
   void onFirst();
   /// Takes one repeat; false when the part is used up.
   bool take();
+  /// Counts a call that a repeated run makes: a repeat at the service that is
+  /// called, though it is sent for the first time.
+  void onInherited();
 
 private:
   double Ratio = 0;
--- a/libs/mesh/include/gentianlug/mesh/server_picker.h
+++ b/libs/mesh/include/gentianlug/mesh/server_picker.h
@@ -37,12 +37,15 @@
   const std::set<zone_name> &ZonesOut;
   /// Nodes that the call has tried already; not chosen again.
   const std::vector<node_id> &Tried;
+  /// Size of the answer, as far as it can be foreseen.
+  std::size_t ExpectedBytes = 0;
 };
 
 /// Chooses servers by expected time, own zone first.
 ///
 /// Bytes between zones are expensive, so a server of the own zone is preferred
-/// until it has no room or is much slower than the best one elsewhere. Servers
+/// until it has no room or is much slower than the best one elsewhere; the
+/// larger the answer, the longer. Servers
 /// that cannot be reached or that fail are left out for a growing time, of a
 /// service at most half, unless nothing else is left.
 class server_picker {
--- a/libs/mesh/include/gentianlug/mesh/serving_gate.h
+++ b/libs/mesh/include/gentianlug/mesh/serving_gate.h
@@ -29,6 +29,8 @@
   VersionClosed,
   /// The server is cold and has got what it bears in this second.
   Cold,
+  /// The link of the machine has more to send than it takes in time.
+  LinkBusy,
   /// No slot in time.
   Busy,
   /// The repeats of the service are used up.
@@ -54,6 +56,10 @@
   std::chrono::milliseconds MaxWait{0};
   /// The call has been sent to a server before.
   bool Repeat = false;
+  /// A repeated run of another server makes the call.
+  bool InheritedRepeat = false;
+  /// Size of the answer, as far as it can be foreseen.
+  std::size_t ExpectedBytes = 0;
 };
 
 struct gate_action {
@@ -89,6 +95,10 @@
   /// Closes the gate for a reason, or opens it.
   void setClosed(const std::optional<gate_refusal> &Reason) { Closed = Reason; }
   repeat_budget &repeats() { return Repeats; }
+  /// Bandwidth of the link that answers leave by; 0 when it has no bound.
+  void setLinkBytesPerSecond(double Rate) { LinkBytesPerSecond = Rate; }
+  /// Bytes that wait to be sent now.
+  void setUnsentBytes(std::size_t Bytes) { UnsentBytes = Bytes; }
 
   void offer(const offered_call &Call, steady_time Now);
   /// A started call has ended after \p Time at the server. A call that the
@@ -103,6 +113,8 @@
 
   serving_report report(steady_time Now) const;
   std::uint32_t running() const { return std::uint32_t(Running.size()); }
+  /// Returns the share of the running calls that are repeats.
+  double repeatShare() const;
   bool confirmed() const { return Confirmed; }
   bool isCold(steady_time Now) const { return Now < ColdUntil; }
   const std::optional<gated_server> &server() const { return Server; }
@@ -112,12 +124,17 @@
     offered_call Call;
     steady_time LeavesAt;
   };
+  struct running_call {
+    bool Repeat = false;
+    std::size_t ExpectedBytes = 0;
+  };
 
   std::optional<gate_refusal> refusal(const offered_call &Call,
                                       steady_time Now) const;
   std::uint32_t startsInWindow(steady_time Now);
   std::uint32_t coldLimit() const;
   bool mayStart(steady_time Now);
+  std::chrono::milliseconds linkTime() const;
   void start(const offered_call &Call, steady_time Now);
   void refuse(call_ticket Ticket, gate_refusal Reason);
 
@@ -127,7 +144,9 @@
   steady_time ColdUntil{};
   repeat_budget Repeats;
   std::vector<waiting_call> Queue;
-  std::unordered_map<call_ticket, steady_time> Running;
+  std::unordered_map<call_ticket, running_call> Running;
+  double LinkBytesPerSecond = 0;
+  std::size_t UnsentBytes = 0;
   /// Starts within the last second, oldest first.
   std::deque<steady_time> Starts;
   std::vector<gate_action> Actions;
--- a/libs/mesh/src/server_picker.cpp
+++ b/libs/mesh/src/server_picker.cpp
@@ -8,10 +8,15 @@
 static constexpr std::chrono::milliseconds ReportLife{1000};
 /// Assumed until the first report.
 static constexpr std::chrono::milliseconds AssumedServiceTime{50};
-/// A server of the own zone is used up to this utilization ...
-static constexpr double OwnZoneUtilization = 0.95;
-/// ... and this many times the cost of the best server anywhere.
-static constexpr double OwnZoneCostFactor = 2.5;
+/// A server of the own zone is used up to a utilization, and up to a multiple
+/// of the cost of the best server anywhere, that depend on the answer's size.
+struct zone_preference {
+  std::size_t FromBytes;
+  double Utilization;
+  double CostFactor;
+};
+static constexpr zone_preference ZonePreferences[] = {
+    {32UL << 10, 2.0, 8}, {2UL << 10, 1.2, 4}, {0, 0.95, 2.5}};
 /// Weight of one try in the moving share of failures.
 static constexpr double FailureWeight = 0.1;
 /// How much a failure costs, in service times.
@@ -108,11 +113,14 @@
   double Best = All.front()->cost(Now);
   for (const endpoint *Each : All)
     Best = std::min(Best, Each->cost(Now));
+  const zone_preference *Preference = ZonePreferences;
+  while (Request.ExpectedBytes < Preference->FromBytes)
+    ++Preference;
   std::vector<const endpoint *> Own;
   for (const endpoint *Each : All)
     if (Each->Record.Zone == Request.OwnZone &&
-        Each->utilization(Now) < OwnZoneUtilization &&
-        Each->cost(Now) <= Best * OwnZoneCostFactor)
+        Each->utilization(Now) < Preference->Utilization &&
+        Each->cost(Now) <= Best * Preference->CostFactor)
       Own.push_back(Each);
   const auto &Pool = Own.empty() ? All : Own;
   const endpoint *First = Pool[drawIndex(Gen, Pool.size())];
--- a/libs/mesh/src/serving_gate.cpp
+++ b/libs/mesh/src/serving_gate.cpp
@@ -14,6 +14,11 @@
 static constexpr std::uint32_t QueuedPerSlot = 2;
 /// A call with less time left is not started.
 static constexpr std::chrono::milliseconds MinTimeLeft{5};
+/// Answers below this size are sent whatever the link has to do.
+static constexpr std::size_t LargeAnswerBytes = 16UL << 10;
+/// Time for which large answers may occupy the link in advance.
+static constexpr std::chrono::milliseconds MaxLinkTime{250};
+
 /// How soon the gate looks again while only the cold bound holds calls back.
 static constexpr std::chrono::milliseconds ColdRecheck{50};
 
@@ -31,6 +36,8 @@
     return "version-closed";
   case gate_refusal::Cold:
     return "cold";
+  case gate_refusal::LinkBusy:
+    return "link-busy";
   case gate_refusal::Busy:
     return "busy";
   case gate_refusal::RepeatsSpent:
@@ -90,10 +97,33 @@
   return !isCold(Now) || Recent < coldLimit();
 }
 
+std::chrono::milliseconds serving_gate::linkTime() const {
+  if (LinkBytesPerSecond <= 0)
+    return std::chrono::milliseconds(0);
+  auto Bytes = double(UnsentBytes);
+  for (const auto &[Ticket, Call] : Running)
+    Bytes += double(Call.ExpectedBytes);
+  constexpr double MillisPerSecond = 1000;
+  return std::chrono::milliseconds(
+      std::llround(Bytes / LinkBytesPerSecond * MillisPerSecond));
+}
+
+double serving_gate::repeatShare() const {
+  if (Running.empty())
+    return 0;
+  auto Repeated =
+      std::count_if(Running.begin(), Running.end(),
+                    [](const auto &Each) { return Each.second.Repeat; });
+  return double(Repeated) / double(Running.size());
+}
+
 void serving_gate::start(const offered_call &Call, steady_time Now) {
-  Running.emplace(Call.Ticket, Now);
+  Running.emplace(Call.Ticket, running_call{Call.Repeat || Call.InheritedRepeat,
+                                            Call.ExpectedBytes});
   Starts.push_back(Now);
-  if (!Call.Repeat)
+  if (Call.InheritedRepeat)
+    Repeats.onInherited();
+  else if (!Call.Repeat)
     Repeats.onFirst();
   Actions.push_back({gate_action::kind::Start, Call.Ticket, {}});
 }
@@ -101,6 +131,8 @@
 void serving_gate::offer(const offered_call &Call, steady_time Now) {
   if (auto Reason = refusal(Call, Now))
     return refuse(Call.Ticket, *Reason);
+  if (Call.ExpectedBytes >= LargeAnswerBytes && linkTime() > MaxLinkTime)
+    return refuse(Call.Ticket, gate_refusal::LinkBusy);
   if (Call.Repeat && !Repeats.take())
     return refuse(Call.Ticket, gate_refusal::RepeatsSpent);
   if (Queue.empty() && mayStart(Now))
@@ -167,8 +199,13 @@
   serving_report Report;
   Report.Running = running();
   Report.Queued = std::uint32_t(Queue.size());
-  Report.ServiceTime =
-      std::chrono::milliseconds(std::llround(std::max(ServiceTimeMs, 1.0)));
+  // What the link has to send delays every answer.
+  auto Bytes = double(UnsentBytes);
+  constexpr double MillisPerSecond = 1000;
+  double LinkMs =
+      LinkBytesPerSecond > 0 ? Bytes / LinkBytesPerSecond * MillisPerSecond : 0;
+  Report.ServiceTime = std::chrono::milliseconds(
+      std::llround(std::max(ServiceTimeMs, 1.0) + LinkMs));
   if (!Server || !Confirmed || Closed)
     return Report;
   Report.Limit = Server->Slots;
