Refuse large answers that a narrow link cannot carry soon

Change: 60 ms; large answers of the server beside the node are preferred; up to 6 nodes are asked, since a refusal costs a round trip only.

--- a/libs/gateway/src/entry_call.cpp
+++ b/libs/gateway/src/entry_call.cpp
@@ -7,7 +7,7 @@
 using observe::event;
 
 /// Nodes that one call may be sent to; refusals cost a round trip each.
-static constexpr std::size_t MaxNodesTried = 4;
+static constexpr std::size_t MaxNodesTried = 6;
 /// Part of the target latency that a call may wait for a slot in all. Longer
 /// waits make calls late without letting more of them end.
 static constexpr double WaitPart = 0.3;
@@ -66,6 +66,7 @@
   auto Size = Entry.AnswerBytes.find(Plan.Route);
   return {Plan.Service,
           Version,
+          Entry.Place.Node,
           Entry.Place.Zone,
           Entry.ZonesOut,
           Tried,
--- a/libs/mesh/include/gentianlug/mesh/server_picker.h
+++ b/libs/mesh/include/gentianlug/mesh/server_picker.h
@@ -32,6 +32,7 @@
   const service_name &Service;
   /// Only servers of this version.
   const version_name &Version;
+  const node_id &OwnNode;
   const zone_name &OwnZone;
   /// Zones that operators have taken out.
   const std::set<zone_name> &ZonesOut;
@@ -45,7 +46,8 @@
 ///
 /// Bytes between zones are expensive, so a server of the own zone is preferred
 /// until it has no room or is much slower than the best one elsewhere; the
-/// larger the answer, the longer. Servers
+/// larger the answer, the longer. A large answer of the server beside this node
+/// passes one link less and is preferred before all. Servers
 /// that cannot be reached or that fail are left out for a growing time, of a
 /// service at most half, unless nothing else is left.
 class server_picker {
--- a/libs/mesh/src/server_picker.cpp
+++ b/libs/mesh/src/server_picker.cpp
@@ -4,6 +4,8 @@
 
 namespace gentianlug::mesh {
 
+/// Answers from this size on are preferably taken from the own node.
+static constexpr std::size_t LocalAnswerBytes = 32UL << 10;
 /// A report counts for this time; after that only the calls of this node do.
 static constexpr std::chrono::milliseconds ReportLife{1000};
 /// Assumed until the first report.
@@ -117,11 +119,16 @@
   while (Request.ExpectedBytes < Preference->FromBytes)
     ++Preference;
   std::vector<const endpoint *> Own;
-  for (const endpoint *Each : All)
+  for (const endpoint *Each : All) {
+    bool Beside = Each->Record.Node == Request.OwnNode &&
+                  Request.ExpectedBytes >= LocalAnswerBytes;
+    if (Beside && Each->utilization(Now) < Preference->Utilization)
+      return &Each->Record;
     if (Each->Record.Zone == Request.OwnZone &&
         Each->utilization(Now) < Preference->Utilization &&
         Each->cost(Now) <= Best * Preference->CostFactor)
       Own.push_back(Each);
+  }
   const auto &Pool = Own.empty() ? All : Own;
   const endpoint *First = Pool[drawIndex(Gen, Pool.size())];
   if (Pool.size() == 1)
--- a/libs/mesh/src/serving_gate.cpp
+++ b/libs/mesh/src/serving_gate.cpp
@@ -17,7 +17,7 @@
 /// Answers below this size are sent whatever the link has to do.
 static constexpr std::size_t LargeAnswerBytes = 16UL << 10;
 /// Time for which large answers may occupy the link in advance.
-static constexpr std::chrono::milliseconds MaxLinkTime{250};
+static constexpr std::chrono::milliseconds MaxLinkTime{60};
 
 /// How soon the gate looks again while only the cold bound holds calls back.
 static constexpr std::chrono::milliseconds ColdRecheck{50};
