--- /dev/null
+++ b/libs/mesh/tests/relay_order_test.cpp
@@ -0,0 +1,55 @@
+#include "gentianlug/mesh/relay_order.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+
+using namespace gentianlug;
+using namespace gentianlug::mesh;
+
+TEST_GROUP(RelayOrder) {
+  std::vector<server_record> Servers;
+
+  void add(const std::string &Node, const std::string &Zone,
+           std::uint32_t Mbps) {
+    server_record Record;
+    Record.Node = node_id(Node);
+    Record.Zone = zone_name(Zone);
+    Record.LinkMbps = Mbps;
+    Servers.push_back(Record);
+  }
+  std::string first(const std::string &Self, const std::string &Zone) {
+    auto Order = relayOrder(Servers, zone_name(Zone), node_id(Self));
+    return Order.empty() ? "none" : Order.front().Node.str();
+  }
+};
+
+TEST(RelayOrder, StrongLinksOfTheZoneComeFirst) {
+  add("a1", "a", 11);
+  add("a2", "a", 200);
+  add("b1", "b", 1000);
+  STRCMP_EQUAL("a2", first("a1", "a").c_str());
+  STRCMP_EQUAL("b1", first("b1", "b").c_str());
+  STRCMP_EQUAL("none", first("c1", "c").c_str());
+}
+
+TEST(RelayOrder, StoppedNodesDoNotRelay) {
+  add("a1", "a", 11);
+  add("a2", "a", 200);
+  Servers[1].State = server_state::Paused;
+  STRCMP_EQUAL("a1", first("a1", "a").c_str());
+}
+
+// Guards against relays whose work grows with the fleet, and against nodes of
+// one group that disagree about their relay.
+TEST(RelayOrder, LargeZonesHaveSeveralRelays) {
+  for (int Index = 0; Index < 640; ++Index)
+    add("n" + std::to_string(Index), "a", 11);
+  std::vector<std::string> Relays;
+  for (int Index = 0; Index < 640; ++Index) {
+    std::string Relay = first("n" + std::to_string(Index), "a");
+    STRCMP_EQUAL(Relay.c_str(), first(Relay, "a").c_str());
+    if (std::find(Relays.begin(), Relays.end(), Relay) == Relays.end())
+      Relays.push_back(Relay);
+  }
+  UNSIGNED_LONGS_EQUAL(640 / NodesPerRelay, Relays.size());
+}
--- /dev/null
+++ b/libs/mesh/tests/rollout_conductor_test.cpp
@@ -0,0 +1,131 @@
+#include "gentianlug/mesh/rollout_conductor.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::mesh;
+using namespace std::chrono_literals;
+
+TEST_GROUP(RolloutConductor) {
+  steady_time Now{1h};
+  steady_time Ordered{1h};
+  std::unique_ptr<rollout_conductor> Conductor;
+  generator Gen{3};
+  double NewErrors = 0;
+  /// Stages that were written, with their shares in percent.
+  std::string Written;
+  std::uint64_t NewCalls = 0;
+  std::uint64_t AllCalls = 0;
+
+  void setup() override {
+    rollout_record Order;
+    Order.Service = service_name("s");
+    Order.Target = version_name("v2");
+    Order.Duration = 16s;
+    Conductor = std::make_unique<rollout_conductor>(
+        Order, version_name("v1"), std::vector<route_name>{route_name("r")},
+        mesh_bounds{}, Now);
+  }
+  rollout::server_evidence evidence(const char *Version, std::uint32_t Calls,
+                                    double ErrorRate) {
+    rollout::server_evidence Evidence;
+    Evidence.Service = service_name("s");
+    Evidence.Version = version_name(Version);
+    rollout::route_evidence Row;
+    Row.Route = route_name("r");
+    Row.Calls = Calls;
+    for (std::uint32_t Call = 0; Call < Calls; ++Call) {
+      if (drawChance(Gen, ErrorRate))
+        ++Row.Errors;
+      else
+        ++Row.Latencies[rollout::latencyBucket(50ms)];
+    }
+    Evidence.Routes = {Row};
+    return Evidence;
+  }
+  /// One period at 120 calls a second.
+  void step(std::size_t NewServers = 2) {
+    Now += 250ms;
+    const rollout_record &Record = Conductor->record();
+    constexpr double CallsPerPeriod = 30;
+    bool Serves = Record.Stage == rollout_stage::Running ||
+                  Record.Stage == rollout_stage::Switching;
+    auto New = Serves ? std::uint32_t(CallsPerPeriod * Record.Share + 0.5) : 0;
+    auto Old = std::uint32_t(CallsPerPeriod) - New;
+    NewCalls += New;
+    AllCalls += New + Old;
+    Conductor->onEvidence(evidence("v1", Old, 0.002));
+    Conductor->onEvidence(evidence("v2", New, NewErrors));
+    Conductor->judge();
+    if (auto Next = Conductor->next({NewServers, 1000ms}, Now)) {
+      static const char *Names[] = {"ordered", "running", "switching",
+                                    "completed", "rolled-back"};
+      Written += std::string(Written.empty() ? "" : " ") +
+                 Names[int(Next->Stage)] + "/" +
+                 std::to_string(int(Next->Share * 100 + 0.5));
+      Conductor->onRecord(*Next, Now);
+    }
+  }
+  void runUntilEnd(std::size_t NewServers = 2) {
+    while (Now < Ordered + 16s)
+      step(NewServers);
+  }
+};
+
+TEST(RolloutConductor, GoodVersionCompletesInTime) {
+  runUntilEnd();
+  STRCMP_EQUAL("running/5 running/15 switching/100 completed/100",
+               Written.c_str());
+}
+
+// Guards against old servers that are stopped while calls are on their way to
+// them: they go on for the longest call after the switch.
+TEST(RolloutConductor, SwitchLastsLongerThanTheLongestCall) {
+  while (Conductor->record().Stage != rollout_stage::Switching)
+    step();
+  auto Since = Now;
+  while (Conductor->record().Stage != rollout_stage::Completed)
+    step();
+  CHECK(Now - Since >= 1500ms);
+}
+
+TEST(RolloutConductor, FailingVersionIsTakenBackWithinItsExposure) {
+  NewErrors = 0.5;
+  runUntilEnd();
+  STRCMP_EQUAL("running/5 rolled-back/0", Written.c_str());
+  CHECK(double(NewCalls) <= 0.1 * double(AllCalls) + 50);
+}
+
+TEST(RolloutConductor, VersionThatFailsLateIsTakenBack) {
+  while (Now < Ordered + 5s)
+    step();
+  NewErrors = 0.5;
+  runUntilEnd();
+  STRCMP_EQUAL("running/5 rolled-back/0", Written.c_str());
+  CHECK(double(NewCalls) <= 0.1 * double(AllCalls) + 50);
+}
+
+TEST(RolloutConductor, VersionThatFailsUnderFullLoadIsTakenBack) {
+  while (Conductor->record().Stage != rollout_stage::Switching)
+    step();
+  NewErrors = 0.5;
+  runUntilEnd();
+  CHECK(Written.ends_with("rolled-back/0"));
+  CHECK(double(NewCalls) <= 0.1 * double(AllCalls) + 50);
+}
+
+TEST(RolloutConductor, VersionWithoutServersIsTakenBackInTime) {
+  runUntilEnd(0);
+  STRCMP_EQUAL("rolled-back/0", Written.c_str());
+}
+
+// Guards against a successor that starts the clock of the rollout anew.
+TEST(RolloutConductor, SuccessorGoesOnFromTheElapsedTime) {
+  while (Now < Ordered + 8s)
+    step();
+  rollout_record Taken = Conductor->record();
+  rollout_conductor Next(Taken, version_name("v1"), {route_name("r")},
+                         mesh_bounds{}, Now);
+  auto Late = Next.next({2, 1000ms}, Now + 6s);
+  CHECK(Late && Late->Stage == rollout_stage::RolledBack);
+}
--- /dev/null
+++ b/libs/mesh/tests/server_picker_test.cpp
@@ -0,0 +1,136 @@
+#include "gentianlug/mesh/server_picker.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace gentianlug;
+using namespace gentianlug::mesh;
+using namespace std::chrono_literals;
+
+static server_record server(const std::string &Node, const std::string &Zone,
+                            const std::string &Version = "v1") {
+  server_record Record;
+  Record.Node = node_id(Node);
+  Record.Instance = "i-" + Node;
+  Record.Service = service_name("s");
+  Record.Version = version_name(Version);
+  Record.Zone = zone_name(Zone);
+  Record.Slots = 4;
+  return Record;
+}
+
+TEST_GROUP(ServerPicker) {
+  server_picker Picker;
+  generator Gen{5};
+  steady_time Now{1h};
+  service_name Service{"s"};
+  version_name Version{"v1"};
+  node_id OwnNode{"own"};
+  zone_name Zone{"a"};
+  std::set<zone_name> ZonesOut;
+  std::vector<node_id> Tried;
+  std::size_t Bytes = 0;
+
+  std::string pick() {
+    const server_record *Found = Picker.pick(
+        {Service, Version, OwnNode, Zone, ZonesOut, Tried, Bytes}, Gen, Now);
+    return Found ? Found->Node.str() : "none";
+  }
+  /// Picks often and returns the share of \p Node.
+  double share(const std::string &Node) {
+    int Count = 0;
+    constexpr int Picks = 500;
+    for (int Pick = 0; Pick < Picks; ++Pick)
+      Count += pick() == Node ? 1 : 0;
+    return double(Count) / Picks;
+  }
+  void report(const std::string &Node, serving_report Report,
+              try_end End = try_end::Answered) {
+    Picker.onStarted(node_id(Node));
+    Picker.onEnded(node_id(Node), End, Report, Now);
+  }
+};
+
+TEST(ServerPicker, PrefersTheOwnZoneWhileItHasRoom) {
+  Picker.update({server("a1", "a"), server("b1", "b")});
+  DOUBLES_EQUAL(1, share("a1"), 0);
+  report("a1", {4, 0, 4, 50ms});
+  report("b1", {0, 0, 4, 50ms});
+  DOUBLES_EQUAL(0, share("a1"), 0.5);
+}
+
+// Guards against large answers that cross zones because of a short queue.
+TEST(ServerPicker, LargeAnswersStayInTheZoneLonger) {
+  Picker.update({server("a1", "a"), server("b1", "b")});
+  report("a1", {4, 1, 4, 50ms});
+  report("b1", {0, 0, 4, 50ms});
+  Bytes = 90000;
+  DOUBLES_EQUAL(1, share("a1"), 0);
+}
+
+TEST(ServerPicker, LargeAnswersComeFromTheOwnNode) {
+  Picker.update({server("a1", "a"), server("own", "a"), server("a2", "a")});
+  Bytes = 90000;
+  DOUBLES_EQUAL(1, share("own"), 0);
+}
+
+TEST(ServerPicker, LeavesOutWhatMayNotServe) {
+  auto Draining = server("a2", "a");
+  Draining.State = server_state::Draining;
+  auto Paused = server("a3", "a");
+  Paused.State = server_state::Paused;
+  Picker.update({server("a1", "a"), Draining, Paused, server("a4", "a", "v2"),
+                 server("c1", "c")});
+  ZonesOut = {zone_name("c")};
+  DOUBLES_EQUAL(1, share("a1"), 0);
+  Tried = {node_id("a1")};
+  STRCMP_EQUAL("none", pick().c_str());
+}
+
+// Guards against calls that are sent to a node that cannot be reached.
+TEST(ServerPicker, UnreachableNodesAreLeftOutForAGrowingTime) {
+  Picker.update({server("a1", "a"), server("a2", "a")});
+  Picker.onEnded(node_id("a1"), try_end::Unreachable, std::nullopt, Now);
+  DOUBLES_EQUAL(0, share("a1"), 0);
+  Now += 600ms;
+  CHECK(share("a1") > 0);
+  Picker.onEnded(node_id("a1"), try_end::Unreachable, std::nullopt, Now);
+  Now += 600ms;
+  DOUBLES_EQUAL(0, share("a1"), 0);
+}
+
+// Guards against a service that is emptied because all its servers failed.
+TEST(ServerPicker, UsesSomeServerWhenAllAreLeftOut) {
+  Picker.update({server("a1", "a"), server("a2", "a")});
+  for (const char *Node : {"a1", "a2"})
+    Picker.onEnded(node_id(Node), try_end::Unreachable, std::nullopt, Now);
+  CHECK(pick() != "none");
+}
+
+// Guards against grey servers that fail a part of their calls.
+TEST(ServerPicker, FailingServersGetLess) {
+  Picker.update({server("a1", "a"), server("a2", "a"), server("a3", "a")});
+  for (int Call = 0; Call < 40; ++Call)
+    for (const char *Node : {"a1", "a2", "a3"})
+      report(Node, {0, 0, 4, 50ms},
+             Node == std::string("a1") && Call % 2 == 0 ? try_end::Failed
+                                                        : try_end::Answered);
+  CHECK(share("a1") < 0.15);
+}
+
+TEST(ServerPicker, SlowServersGetLess) {
+  Picker.update({server("a1", "a"), server("a2", "a"), server("a3", "a")});
+  for (const char *Node : {"a2", "a3"})
+    report(Node, {0, 0, 4, 50ms});
+  report("a1", {0, 0, 4, 400ms});
+  DOUBLES_EQUAL(0, share("a1"), 0);
+}
+
+// Guards against observations of a server that outlive it.
+TEST(ServerPicker, NewInstanceStartsAfresh) {
+  Picker.update({server("a1", "a"), server("a2", "a")});
+  Picker.onEnded(node_id("a1"), try_end::Unreachable, std::nullopt, Now);
+  auto Next = server("a1", "a");
+  Next.Instance = "i-new";
+  Picker.update({Next, server("a2", "a")});
+  CHECK(share("a1") > 0);
+}
