--- /dev/null
+++ b/libs/gateway/tests/messages_test.cpp
@@ -0,0 +1,241 @@
+#include "gentianlug/gateway/decision_log.h"
+#include "gentianlug/gateway/mesh_feed.h"
+#include "gentianlug/gateway/peer_call.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <unistd.h>
+
+using namespace gentianlug;
+using namespace gentianlug::gateway;
+using namespace std::chrono_literals;
+
+TEST_GROUP(PeerCall){};
+
+static peer_call exampleCall() {
+  peer_call Call;
+  Call.Instance = "i-1";
+  Call.Route = route_name("r");
+  Call.CallerService = service_name("caller");
+  Call.CallId = "abc";
+  Call.Deadline = 1500ms;
+  Call.MaxWait = 120ms;
+  Call.Rank = 3;
+  Call.Idempotent = true;
+  Call.InheritedRepeat = true;
+  return Call;
+}
+
+TEST(PeerCall, TravelsInOneField) {
+  http1::request Request;
+  writePeerCall(Request, exampleCall());
+  UNSIGNED_LONGS_EQUAL(1, Request.Headers.size());
+  auto Taken = takePeerCall(Request);
+  CHECK(Taken && *Taken == exampleCall());
+  UNSIGNED_LONGS_EQUAL(0, Request.Headers.size());
+}
+
+// Guards against a caller that passes for a node.
+TEST(PeerCall, MalformedFieldsAreRefused) {
+  for (const char *Value :
+       {"", "a;b", "i;r;s;c;x;1;1;1;1;1", "i;r;s;c;1;1;1;1;1;1;1"}) {
+    http1::request Request;
+    Request.Headers.add("gl-call", Value);
+    CHECK_FALSE(takePeerCall(Request).has_value());
+  }
+  http1::header_list Headers;
+  Headers.add("GL-Call", "x");
+  Headers.add("gl-serving", "x");
+  removePeerFields(Headers);
+  UNSIGNED_LONGS_EQUAL(0, Headers.size());
+}
+
+TEST(PeerCall, ResultsKeepTheAnswerOfTheServer) {
+  serving_result Result;
+  Result.End = serving_end::Answered;
+  Result.Report = mesh::serving_report{3, 1, 9, 40ms};
+  Result.Answer = http1::statusAnswer(201);
+  Result.Answer.Body = "body";
+  Result.Answer.Headers.add("Kept", "1");
+  auto Read = readServingResult(writeServingResult(Result));
+  CHECK(Read.End == serving_end::Answered);
+  CHECK(Read.Report == Result.Report);
+  LONGS_EQUAL(201, Read.Answer.Status);
+  STRCMP_EQUAL("body", Read.Answer.Body.c_str());
+  UNSIGNED_LONGS_EQUAL(1, Read.Answer.Headers.size());
+}
+
+// Guards against an answer without a known end being taken for "not run".
+TEST(PeerCall, AnswersOfStrangersAreUnknown) {
+  CHECK(readServingResult(http1::statusAnswer(503)).End ==
+        serving_end::Unknown);
+  for (serving_end End : {serving_end::Refused, serving_end::Shed}) {
+    serving_result Result;
+    Result.End = End;
+    Result.Reason = "busy";
+    auto Read = readServingResult(writeServingResult(Result));
+    CHECK(Read.End == End);
+    STRCMP_EQUAL("busy", Read.Reason.c_str());
+  }
+}
+
+TEST_GROUP(Feed) {
+  feed_state State{"life"};
+
+  static std::shared_ptr<const mesh::mesh_configuration> version(
+      config_version Version, std::vector<std::string> Routes) {
+    auto Next = std::make_shared<mesh::mesh_configuration>();
+    Next->Version = Version;
+    for (const std::string &Name : Routes) {
+      mesh::route Route;
+      Route.Name = route_name(Name.substr(0, 1));
+      Route.PathPrefix = Name;
+      Route.Services = {{service_name("s"), 1}};
+      Next->Routes.push_back(Route);
+    }
+    return Next;
+  }
+  static mesh::server_record server(const std::string &Node,
+                                    std::uint64_t Sequence = 1) {
+    mesh::server_record Record;
+    Record.Node = node_id(Node);
+    Record.NodeAddress = {"10.0.0.1", 80};
+    Record.Sequence = Sequence;
+    return Record;
+  }
+  /// Sends what a follower at \p At lacks over the wire.
+  feed_update updateFor(const feed_cursor &At) {
+    auto Update = State.since(*decodeCursor(encodeCursor(At)));
+    CHECK(Update.has_value());
+    auto Read = decodeUpdate(encodeUpdate(*Update));
+    CHECK_TEXT(bool(Read), Read ? "" : Read.failure().message().c_str());
+    return *Read;
+  }
+};
+
+// Guards against changes of the configuration that travel as a whole: hundreds
+// of routes, five times a second, over narrow links.
+TEST(Feed, SendsOnlyTheRoutesThatChanged) {
+  auto First = version(1, {"a", "b", "c"});
+  auto Second = version(2, {"a", "bb", "d"});
+  State.setConfiguration(First);
+  State.setConfiguration(Second);
+  feed_cursor At;
+  At.Config = 1;
+  auto Update = updateFor(At);
+  CHECK(Update.Config.has_value());
+  UNSIGNED_LONGS_EQUAL(2, Update.Config->Routes.size());
+  UNSIGNED_LONGS_EQUAL(1, Update.Config->Removed.size());
+  auto Next = applyChange(First.get(), *Update.Config);
+  UNSIGNED_LONGS_EQUAL(2, Next->Version);
+  UNSIGNED_LONGS_EQUAL(3, Next->Routes.size());
+  CHECK(applyChange(Second.get(), *Update.Config) == nullptr);
+}
+
+TEST(Feed, SendsTheWholeToWhoIsTooFarBehind) {
+  for (config_version Each = 1; Each < 40; ++Each)
+    State.setConfiguration(version(Each, {"a"}));
+  feed_cursor At;
+  At.Config = 2;
+  auto Update = updateFor(At);
+  UNSIGNED_LONGS_EQUAL(0, Update.Config->Base);
+  UNSIGNED_LONGS_EQUAL(1, Update.Config->Routes.size());
+}
+
+TEST(Feed, SendsServersThatChangedOrWent) {
+  State.setServers({server("n1"), server("n2"), server("n3")});
+  feed_cursor At = updateFor({}).Cursor;
+  CHECK_FALSE(State.since(At).has_value());
+  State.setServers({server("n1"), server("n2", 5)});
+  auto Update = updateFor(At);
+  CHECK_FALSE(Update.ServersWhole);
+  UNSIGNED_LONGS_EQUAL(1, Update.Servers.size());
+  UNSIGNED_LONGS_EQUAL(5, Update.Servers[0].Sequence);
+  UNSIGNED_LONGS_EQUAL(1, Update.ServersRemoved.size());
+  CHECK_FALSE(State.since(Update.Cursor).has_value());
+}
+
+// Guards against numbers of one relay life being taken for those of another.
+TEST(Feed, AnotherLifeGetsTheWhole) {
+  State.setServers({server("n1")});
+  feed_cursor At = updateFor({}).Cursor;
+  At.Life = "another";
+  CHECK(updateFor(At).ServersWhole);
+}
+
+TEST(Feed, SendsOrders) {
+  mesh_orders Orders;
+  Orders.Bases[service_name("s")] = version_name("v1");
+  Orders.ZonesOut.insert(zone_name("z"));
+  mesh::rollout_record Record;
+  Record.Service = service_name("s");
+  Record.Target = version_name("v2");
+  Record.Stage = mesh::rollout_stage::Running;
+  Record.Share = 0.15;
+  Record.Duration = 16s;
+  Orders.Rollouts.push_back(Record);
+  State.setOrders(Orders);
+  auto Update = updateFor({});
+  CHECK(Update.Orders.has_value());
+  CHECK(Update.Orders->Bases == Orders.Bases);
+  CHECK(Update.Orders->Rollouts == Orders.Rollouts);
+  CHECK(Update.Orders->ZonesOut == Orders.ZonesOut);
+}
+
+TEST(Feed, MalformedMessagesAreRefused) {
+  for (const char *Text : {"", "{", "[]", "{\"cursor\":1}", "[1,2]"}) {
+    CHECK_FALSE(bool(decodeUpdate(Text)));
+    CHECK_FALSE(bool(decodeCursor(Text)));
+  }
+}
+
+TEST_GROUP(DecisionLog) {
+  int Pipe[2] = {-1, -1};
+
+  void setup() override { CHECK(pipe(Pipe) == 0); }
+  void teardown() override {
+    close(Pipe[0]);
+    close(Pipe[1]);
+  }
+  std::string read() const {
+    char Bytes[8192];
+    ssize_t Count = ::read(Pipe[0], Bytes, sizeof Bytes);
+    return {Bytes, std::size_t(std::max<ssize_t>(Count, 0))};
+  }
+};
+
+TEST(DecisionLog, WritesOneObjectALine) {
+  decision_log Log(Pipe[1], "n1");
+  Log.write(observe::event::CallRefused,
+            {{"call", "a\"b\n"}, {"age_ms", 5ms}, {"tries", std::int64_t(2)}});
+  Log.flush();
+  std::string Line = read();
+  CHECK(Line.find("\"node\":\"n1\",\"event\":\"GL4002\",\"name\":\"CallRefused"
+                  "\",\"call\":\"a\\\"b?\",\"age_ms\":5,\"tries\":2}\n") !=
+        std::string::npos);
+}
+
+// Guards against a node that waits for a reader of its log that has stopped.
+TEST(DecisionLog, FullPipeNeverBlocks) {
+  decision_log Log(Pipe[1], "n1");
+  std::string Long(10000, 'x');
+  for (int Line = 0; Line < 2000; ++Line)
+    Log.write(observe::event(Line % 2 ? int(observe::event::CallRefused)
+                                      : int(observe::event::CallFailed)),
+              {{"text", Long}});
+  Log.flush();
+  CHECK(Log.dropped() > 0);
+}
+
+// Guards against a log that grows with the load.
+TEST(DecisionLog, LinesOfOneEventAreBounded) {
+  decision_log Log(Pipe[1], "n1");
+  for (int Line = 0; Line < 1000; ++Line)
+    Log.write(observe::event::CallRefused, {});
+  Log.flush();
+  std::string Text;
+  for (std::string Part = read(); !Part.empty();
+       Part = Part.size() < 8192 ? std::string() : read())
+    Text += Part;
+  CHECK(std::count(Text.begin(), Text.end(), '\n') <= 200);
+}
