--- a/libs/mesh/include/gentianlug/mesh/server_picker.h
+++ b/libs/mesh/include/gentianlug/mesh/server_picker.h
@@ -92,7 +92,8 @@
     double limit(steady_time Now) const;
     double load(steady_time Now) const;
     double utilization(steady_time Now) const { return load(Now) / limit(Now); }
-    double cost(steady_time Now) const;
+    /// \param Assumed service time until the first report.
+    double cost(steady_time Now, std::chrono::milliseconds Assumed) const;
     bool reportIsFresh(steady_time Now) const;
   };
 
--- a/libs/mesh/src/server_picker.cpp
+++ b/libs/mesh/src/server_picker.cpp
@@ -8,7 +8,7 @@
 static constexpr std::size_t LocalAnswerBytes = 32UL << 10;
 /// A report counts for this time; after that only the calls of this node do.
 static constexpr std::chrono::milliseconds ReportLife{1000};
-/// Assumed until the first report.
+/// Assumed at most until the first report.
 static constexpr std::chrono::milliseconds AssumedServiceTime{50};
 /// A server of the own zone is used up to a utilization, and up to a multiple
 /// of the cost of the best server anywhere, that depend on the answer's size.
@@ -46,8 +46,9 @@
   return std::max(0.0, Others) + InFlight;
 }
 
-double server_picker::endpoint::cost(steady_time Now) const {
-  auto Time = Report ? Report->ServiceTime : AssumedServiceTime;
+double server_picker::endpoint::cost(steady_time Now,
+                                     std::chrono::milliseconds Assumed) const {
+  auto Time = Report ? Report->ServiceTime : Assumed;
   double Base = double(std::max<long long>(Time.count(), 1));
   double Crowding = (load(Now) + 1) / limit(Now);
   return Base * (0.5 + Crowding) * (1 + FailureCost * FailedShare);
@@ -112,9 +113,15 @@
   auto All = candidates(Request, Now);
   if (All.empty())
     return nullptr;
-  double Best = All.front()->cost(Now);
+  // A server that nobody has reported on yet counts like the fastest known one,
+  // so that it gets calls.
+  auto Assumed = AssumedServiceTime;
   for (const endpoint *Each : All)
-    Best = std::min(Best, Each->cost(Now));
+    if (Each->Report)
+      Assumed = std::min(Assumed, Each->Report->ServiceTime);
+  double Best = All.front()->cost(Now, Assumed);
+  for (const endpoint *Each : All)
+    Best = std::min(Best, Each->cost(Now, Assumed));
   const zone_preference *Preference = ZonePreferences;
   while (Request.ExpectedBytes < Preference->FromBytes)
     ++Preference;
@@ -126,7 +133,7 @@
       return &Each->Record;
     if (Each->Record.Zone == Request.OwnZone &&
         Each->utilization(Now) < Preference->Utilization &&
-        Each->cost(Now) <= Best * Preference->CostFactor)
+        Each->cost(Now, Assumed) <= Best * Preference->CostFactor)
       Own.push_back(Each);
   }
   const auto &Pool = Own.empty() ? All : Own;
@@ -136,7 +143,9 @@
   const endpoint *Second = First;
   while (Second == First)
     Second = Pool[drawIndex(Gen, Pool.size())];
-  return &(Second->cost(Now) < First->cost(Now) ? Second : First)->Record;
+  return &(Second->cost(Now, Assumed) < First->cost(Now, Assumed) ? Second
+                                                                  : First)
+              ->Record;
 }
 
 bool server_picker::hasRoom(const pick_request &Request,
--- a/libs/mesh/tests/server_picker_test.cpp
+++ b/libs/mesh/tests/server_picker_test.cpp
@@ -134,3 +134,11 @@
   Picker.update({Next, server("a2", "a")});
   CHECK(share("a1") > 0);
 }
+
+// Guards against a server that joins and gets no call, since nobody knows how
+// fast it is.
+TEST(ServerPicker, ServersWithoutReportAreTried) {
+  Picker.update({server("a1", "a"), server("a2", "a")});
+  report("a1", {0, 0, 4, 1ms});
+  CHECK(share("a2") > 0.2);
+}
