--- a/libs/gateway/src/entry_call.cpp
+++ b/libs/gateway/src/entry_call.cpp
@@ -189,6 +189,7 @@
 }
 
 void entry_call::onRefused(const std::string &Reason) {
+  LastRefusal = Reason;
   if (!Running.empty())
     return;
   if (Arrivals >= Plan.MaxAttempts || Tried.size() >= MaxNodesTried ||
@@ -300,15 +301,18 @@
     RetryAfter = drawJitter(Entry.Context.Gen,
                             std::max(part(Plan.TargetLatency, RetryAfterPart),
                                      std::chrono::milliseconds(20)));
-  Entry.Context.Log.write(Status == Unavailable ? event::CallRefused
-                                                : event::CallFailed,
-                          {{"call", Plan.CallId},
-                           {"route", Plan.Route.str()},
-                           {"service", Plan.Service.str()},
-                           {"status", std::int64_t(Status)},
-                           {"reason", Reason},
-                           {"tries", std::int64_t(Tried.size())},
-                           {"age_ms", age()}});
+  Entry.Context.Log.write(
+      Status == Unavailable ? event::CallRefused : event::CallFailed,
+      {{"call", Plan.CallId},
+       {"route", Plan.Route.str()},
+       {"service", Plan.Service.str()},
+       {"status", std::int64_t(Status)},
+       {"reason", Reason},
+       {"last_refusal", LastRefusal},
+       {"tries", std::int64_t(Tried.size())},
+       {"servers", std::int64_t(Entry.Picker.count(Plan.Service))},
+       {"version", Version.str()},
+       {"age_ms", age()}});
   http1::response Answer;
   Answer.Status = Status;
   Entry.Context.Dialect.writeOwnAnswer(Answer, Plan.CallId, RetryAfter);
--- a/libs/gateway/src/entry_call.h
+++ b/libs/gateway/src/entry_call.h
@@ -90,6 +90,8 @@
   /// Some try may have run, or may still run.
   bool MayHaveRun = false;
   bool Finished = false;
+  /// Why the last node that refused the call did so.
+  std::string LastRefusal;
   /// A failure that the server gave, for the case that nothing better comes.
   std::optional<http1::response> ServerFailure;
 };
--- a/libs/http1/tests/client_pool_test.cpp
+++ b/libs/http1/tests/client_pool_test.cpp
@@ -16,9 +16,9 @@
     At.sin_family = AF_INET;
     At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t Size = sizeof At;
-    bind(Fd, reinterpret_cast<sockaddr *>(&At), sizeof At);
-    listen(Fd, 16);
-    getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &Size);
+    (void)bind(Fd, reinterpret_cast<sockaddr *>(&At), sizeof At);
+    (void)listen(Fd, 16);
+    (void)getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &Size);
     Address = {"127.0.0.1", ntohs(At.sin_port)};
   }
   ~byte_listener() {
--- a/libs/http1/tests/loop_fixture.h
+++ b/libs/http1/tests/loop_fixture.h
@@ -21,8 +21,8 @@
   At.sin_family = AF_INET;
   At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t Size = sizeof At;
-  bind(Fd, reinterpret_cast<sockaddr *>(&At), sizeof At);
-  getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &Size);
+  (void)bind(Fd, reinterpret_cast<sockaddr *>(&At), sizeof At);
+  (void)getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &Size);
   close(Fd);
   return ntohs(At.sin_port);
 }
