--- a/libs/mesh/tests/rollout_conductor_test.cpp
+++ b/libs/mesh/tests/rollout_conductor_test.cpp
@@ -1,6 +1,7 @@
 #include "gentianlug/mesh/rollout_conductor.h"
 
 #include <CppUTest/TestHarness.h>
+#include <cmath>
 
 using namespace gentianlug;
 using namespace gentianlug::mesh;
@@ -50,7 +51,8 @@
     constexpr double CallsPerPeriod = 30;
     bool Serves = Record.Stage == rollout_stage::Running ||
                   Record.Stage == rollout_stage::Switching;
-    auto New = Serves ? std::uint32_t(CallsPerPeriod * Record.Share + 0.5) : 0;
+    auto New =
+        Serves ? std::uint32_t(std::lround(CallsPerPeriod * Record.Share)) : 0;
     auto Old = std::uint32_t(CallsPerPeriod) - New;
     NewCalls += New;
     AllCalls += New + Old;
@@ -62,7 +64,7 @@
                                     "completed", "rolled-back"};
       Written += std::string(Written.empty() ? "" : " ") +
                  Names[int(Next->Stage)] + "/" +
-                 std::to_string(int(Next->Share * 100 + 0.5));
+                 std::to_string(std::lround(Next->Share * 100));
       Conductor->onRecord(*Next, Now);
     }
   }
--- a/standins/object_store_standin.cpp
+++ b/standins/object_store_standin.cpp
@@ -22,10 +22,10 @@
 }
 
 object_store_standin::object_store_standin(net::event_loop &Loop)
-    : Loop(Loop), Server(Loop, {},
-                         [this](std::shared_ptr<http1::exchange> Exchange) {
-                           onRequest(std::move(Exchange));
-                         }),
+    : Server(Loop, {},
+             [this](std::shared_ptr<http1::exchange> Exchange) {
+               onRequest(std::move(Exchange));
+             }),
       WaitTimer(Loop, [this] { answerWaits(); }) {}
 
 result<void> object_store_standin::listen(const address &At) {
--- a/standins/object_store_standin.h
+++ b/standins/object_store_standin.h
@@ -87,7 +87,6 @@
   bool overRate();
 
   using table = std::map<std::string, json>;
-  net::event_loop &Loop;
   http1::server Server;
   net::timer WaitTimer;
   std::map<std::string, table> Kinds;
