--- /dev/null
+++ b/standins/node_mesh.cpp
@@ -0,0 +1,234 @@
+#include "node_mesh.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace gentianlug::standin {
+
+using json = nlohmann::json;
+
+static constexpr std::chrono::milliseconds AnnouncePeriod{100};
+static constexpr int Ok = 200;
+
+std::uint16_t findFreePort() {
+  int Fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in At{};
+  At.sin_family = AF_INET;
+  At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Size = sizeof At;
+  (void)bind(Fd, reinterpret_cast<sockaddr *>(&At), sizeof At);
+  (void)getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &Size);
+  close(Fd);
+  return ntohs(At.sin_port);
+}
+
+node_mesh::node_mesh(net::event_loop &Loop, std::string Program)
+    : Store(Loop), Loop(Loop), Program(std::move(Program)),
+      Client(Loop, {}, {}), Heartbeat(Loop, [this] { announceAll(); }) {
+  // A node that is killed resets connections of this process.
+  std::signal(SIGPIPE, SIG_IGN);
+  if (auto Opened = Store.listen(StoreAt); !Opened)
+    std::abort();
+}
+
+node_mesh::~node_mesh() {
+  for (auto &Each : Machines) {
+    if (Each->Process != 0)
+      signal(*Each, SIGKILL);
+    unlink(Each->SettingsFile.c_str());
+  }
+}
+
+void node_mesh::putConfig(int Version,
+                          const std::vector<std::string> &Prefixes) {
+  json Routes = json::array();
+  for (const std::string &Prefix : Prefixes)
+    Routes.push_back(
+        {{"name", "r" + Prefix},
+         {"host", "h.example"},
+         {"pathPrefix", Prefix},
+         {"routeType",
+          Prefix.starts_with("/once") ? "non_idempotent" : "idempotent"},
+         {"timeoutS", 2},
+         {"service", "orders"},
+         {"maxAttempts", 2}});
+  char Text[16];
+  std::snprintf(Text, sizeof Text, "%08x", unsigned(Version));
+  Store.put("config", "main",
+            {{"version", Text},
+             {"routes", Routes},
+             {"services", json::array({{{"name", "orders"},
+                                        {"healthPath", "/healthz"}}})}});
+}
+
+machine &node_mesh::add(const std::string &Name, const std::string &Zone) {
+  Machines.push_back(std::make_unique<machine>());
+  machine &Next = *Machines.back();
+  Next.Name = Name;
+  Next.Zone = Zone;
+  Next.Instance = "i-" + Name;
+  Next.Server = std::make_unique<http1::server>(
+      Loop, http1::server_limits{},
+      [this, &Next](std::shared_ptr<http1::exchange> Exchange) {
+        serve(Next, std::move(Exchange));
+      });
+  if (auto Opened = Next.Server->listen(Next.App, {}); !Opened)
+    std::abort();
+  writeSettings(Next);
+  spawn(Next);
+  return Next;
+}
+
+void node_mesh::writeSettings(machine &Machine) {
+  json Settings = {{"self",
+                    {{"nodeName", Machine.Name},
+                     {"ip", "127.0.0.1"},
+                     {"zone", Machine.Zone},
+                     {"limits", json::object()},
+                     {"service", "orders"}}},
+                   {"network",
+                    {{"listen",
+                      {{"inbound", Machine.Inbound.str()},
+                       {"outbound", Machine.Outbound.str()},
+                       {"ready", Machine.Ready.str()},
+                       {"control", Machine.Control.str()}}}}},
+                   {"platform", {{"platform", {{"address", StoreAt.str()}}}}},
+                   {"terms", {{"bounds", {{"graceS", 6}}}}}};
+  char Name[] = "/tmp/gentianlug-node-XXXXXX";
+  close(mkstemp(Name));
+  Machine.SettingsFile = Name;
+  std::ofstream(Name) << Settings.dump();
+}
+
+void node_mesh::spawn(machine &Machine) {
+  posix_spawn_file_actions_t Files;
+  posix_spawn_file_actions_init(&Files);
+  for (int Fd : {STDOUT_FILENO, STDERR_FILENO})
+    posix_spawn_file_actions_addopen(&Files, Fd, "/dev/null", O_WRONLY, 0);
+  std::string Flag = "--settings";
+  char *Arguments[] = {Program.data(), Flag.data(), Machine.SettingsFile.data(),
+                       nullptr};
+  if (posix_spawn(&Machine.Process, Program.c_str(), &Files, nullptr, Arguments,
+                  environ) != 0)
+    std::abort();
+  posix_spawn_file_actions_destroy(&Files);
+}
+
+void node_mesh::signal(machine &Machine, int Signal) {
+  kill(Machine.Process, Signal);
+  if (Signal != SIGKILL)
+    return;
+  waitpid(Machine.Process, nullptr, 0);
+  Machine.Process = 0;
+}
+
+std::optional<int> node_mesh::ended(machine &Machine) {
+  int Status = 0;
+  if (Machine.Process == 0 ||
+      waitpid(Machine.Process, &Status, WNOHANG) != Machine.Process)
+    return std::nullopt;
+  Machine.Process = 0;
+  return Status;
+}
+
+void node_mesh::serve(machine &Machine,
+                      std::shared_ptr<http1::exchange> Exchange) {
+  if (Exchange->received().Target == "/healthz") {
+    http1::response Answer = http1::statusAnswer(Ok);
+    Answer.Headers.add("Instance-Id", Machine.Instance);
+    return Exchange->respond(std::move(Answer));
+  }
+  ++Machine.Arrivals;
+  if (const std::string *Id = Exchange->received().Headers.find("request-id"))
+    ++Runs[*Id];
+  if (Machine.HoldAnswers) {
+    Machine.Held.push_back(std::move(Exchange));
+    return;
+  }
+  answer(*Exchange);
+}
+
+void node_mesh::answer(http1::exchange &Exchange) {
+  http1::response Answer = http1::statusAnswer(Ok);
+  Answer.Headers.add("Server-Signature", "sig");
+  if (const std::string *Id = Exchange.received().Headers.find("request-id")) {
+    Answer.Headers.add("Request-Id", *Id);
+    Answer.Body = "answer to " + *Id;
+  }
+  Exchange.respond(std::move(Answer));
+}
+
+void node_mesh::announce(machine &Machine, const char *State,
+                         std::function<void(int Status)> Done) {
+  json Body = {
+      {"address", Machine.App.str()},
+      {"born", Machine.Born},
+      {"info",
+       {{"service", "orders"},
+        {"version", "v1"},
+        {"zone", Machine.Zone},
+        {"slots", 9}}},
+      {"status", {{"state", State}, {"sequence", ++Machine.Sequence}}}};
+  http1::request Request;
+  Request.Method = "POST";
+  Request.Target = "/instances/" + Machine.Instance + "/heartbeat";
+  Request.Headers.add("Host", Machine.Control.str());
+  Request.Body = Body.dump();
+  Client.send(Machine.Control, Request, {}, [Done](http1::send_result Result) {
+    Done(Result.Answer.Status);
+  });
+}
+
+void node_mesh::announceAll() {
+  for (auto &Each : Machines)
+    if (Each->Announces && Each->Process != 0)
+      announce(*Each, "ready");
+}
+
+void node_mesh::announceOften(bool Often) {
+  if (Often)
+    Heartbeat.startEvery(AnnouncePeriod);
+  else
+    Heartbeat.cancel();
+}
+
+void node_mesh::askReady(machine &At, std::function<void(bool)> Done) {
+  http1::request Request;
+  Request.Method = "GET";
+  Request.Target = "/readyz";
+  Request.Headers.add("Host", "h");
+  Client.send(At.Ready, Request, {}, [Done](http1::send_result Result) {
+    Done(Result.Answer.Status == Ok);
+  });
+}
+
+void node_mesh::ask(
+    machine &At, const std::string &Method, const std::string &Path,
+    std::function<void(const std::string &Id, const http1::response &)> Done) {
+  std::string Id = "q" + std::to_string(++Asked);
+  http1::request Request;
+  Request.Method = Method;
+  Request.Target = Path;
+  Request.Headers.add("Host", "h.example");
+  Request.Headers.add("Request-Id", Id);
+  Request.Headers.add("Deadline-Ms", "2000");
+  // A caller uses a connection anew only while it is sure to be open.
+  Client.send(At.Outbound, Request,
+              {std::chrono::milliseconds(300), std::chrono::milliseconds(500),
+               "Request-Id"},
+              [Id, Done](http1::send_result Result) {
+                Done(Id, Result.End == http1::send_end::Answered
+                             ? Result.Answer
+                             : http1::statusAnswer(0));
+              });
+}
+
+} // namespace gentianlug::standin
--- /dev/null
+++ b/standins/node_mesh.h
@@ -0,0 +1,93 @@
+#ifndef GENTIANLUG_STANDINS_NODE_MESH_H
+#define GENTIANLUG_STANDINS_NODE_MESH_H
+
+#include "gentianlug/http1/client_pool.h"
+#include "gentianlug/http1/server.h"
+#include "object_store_standin.h"
+
+#include <functional>
+#include <optional>
+#include <sys/types.h>
+
+namespace gentianlug::standin {
+
+/// Returns a port of the loopback address that was free a moment ago.
+std::uint16_t findFreePort();
+
+/// A backend server with the node process beside it.
+struct machine {
+  std::string Name;
+  std::string Zone;
+  std::string Instance;
+  std::uint64_t Born = 1;
+  std::uint64_t Sequence = 0;
+  /// Whether the server announces itself.
+  bool Announces = true;
+  address App{"127.0.0.1", findFreePort()};
+  address Outbound{"127.0.0.1", findFreePort()};
+  address Inbound{"127.0.0.1", findFreePort()};
+  address Ready{"127.0.0.1", findFreePort()};
+  address Control{"127.0.0.1", findFreePort()};
+  std::unique_ptr<http1::server> Server;
+  /// Calls that are held back while `HoldAnswers` is set.
+  std::vector<std::shared_ptr<http1::exchange>> Held;
+  bool HoldAnswers = false;
+  int Arrivals = 0;
+  std::string SettingsFile;
+  /// 0 while no node runs.
+  pid_t Process = 0;
+};
+
+/// Real node processes on loopback with stand-ins of the store, of back ends
+/// and of callers.
+class node_mesh {
+public:
+  /// \param Program path of the node's program.
+  node_mesh(net::event_loop &Loop, std::string Program);
+  /// Ends the processes that it started.
+  ~node_mesh();
+  node_mesh(const node_mesh &) = delete;
+  node_mesh &operator=(const node_mesh &) = delete;
+
+  /// Writes a configuration with a route to the one service for each prefix;
+  /// prefixes that begin with "/once" may run once at most.
+  void putConfig(int Version, const std::vector<std::string> &Prefixes);
+  machine &add(const std::string &Name, const std::string &Zone);
+  void spawn(machine &Machine);
+  /// Sends a signal and waits for the end of the process if it is SIGKILL.
+  void signal(machine &Machine, int Signal);
+  /// Returns the exit status once the process has ended.
+  std::optional<int> ended(machine &Machine);
+  void announce(
+      machine &Machine, const char *State,
+      std::function<void(int Status)> Done = [](int) {});
+  /// Lets all servers announce themselves every 100 ms.
+  void announceOften(bool Often);
+  static void answer(http1::exchange &Exchange);
+  void askReady(machine &At, std::function<void(bool)> Done);
+  /// Sends a call and passes its id and answer on; status 0 without an answer.
+  void
+  ask(machine &At, const std::string &Method, const std::string &Path,
+      std::function<void(const std::string &Id, const http1::response &)> Done);
+
+  object_store_standin Store;
+  std::vector<std::unique_ptr<machine>> Machines;
+  /// Runs of each call id at the servers.
+  std::map<std::string, int> Runs;
+
+private:
+  void serve(machine &Machine, std::shared_ptr<http1::exchange> Exchange);
+  void writeSettings(machine &Machine);
+  void announceAll();
+
+  net::event_loop &Loop;
+  std::string Program;
+  address StoreAt{"127.0.0.1", findFreePort()};
+  http1::client_pool Client;
+  net::timer Heartbeat;
+  std::uint64_t Asked = 0;
+};
+
+} // namespace gentianlug::standin
+
+#endif // GENTIANLUG_STANDINS_NODE_MESH_H
