--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -225,8 +225,8 @@
     if (Since >= Settings.Bounds.StopGrace - StopReserve - longestCall())
       Entry.onLastCall();
     // The next life of the node must know that its server leaves.
-    bool Idle = Entry.underWay() == 0 && Serving.underWay() == 0 &&
-                !Store.publishing();
+    bool Idle =
+        Entry.underWay() == 0 && Serving.underWay() == 0 && !Store.publishing();
     if ((Since >= CallerNotice && Idle) ||
         Since >= Settings.Bounds.StopGrace - StopReserve) {
       StopTimer.cancel();
