--- a/libs/http1/tests/loop_fixture.h
+++ b/libs/http1/tests/loop_fixture.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLUG_HTTP1_TESTS_LOOP_FIXTURE_H
 #define GENTIANLUG_HTTP1_TESTS_LOOP_FIXTURE_H
 
+#include "gentianlug/core/address.h"
 #include "gentianlug/net/event_loop.h"
 #include "gentianlug/net/timer.h"
 
@@ -45,11 +46,13 @@
 class byte_client {
 public:
   explicit byte_client(std::uint16_t Port)
+      : byte_client(address{"127.0.0.1", Port}) {}
+  explicit byte_client(const address &To)
       : Fd(socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in At{};
     At.sin_family = AF_INET;
-    At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    At.sin_port = htons(Port);
+    CHECK(inet_pton(AF_INET, To.Host.c_str(), &At.sin_addr) == 1);
+    At.sin_port = htons(To.Port);
     CHECK(connect(Fd, reinterpret_cast<sockaddr *>(&At), sizeof At) == 0);
   }
   ~byte_client() { hangUp(); }
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -22,8 +22,10 @@
 /// overlapping, while callers ask all the time.
 class soak_run {
 public:
-  soak_run(std::string Program, std::uint64_t Seed, std::chrono::seconds Length)
-      : Gen(Seed), Length(Length), Mesh(Loop, std::move(Program)),
+  soak_run(std::string Program, std::string LogFolder, std::uint64_t Seed,
+           std::chrono::seconds Length)
+      : Gen(Seed), Length(Length),
+        Mesh(Loop, std::move(Program), std::move(LogFolder)),
         AskTimer(Loop, [this] { askSome(); }),
         FaultTimer(Loop, [this] { step(); }) {}
 
@@ -199,10 +201,12 @@
 
 int main(int Argc, char **Argv) {
   static const option Options[] = {{"program", required_argument, nullptr, 'p'},
+                                   {"logs", required_argument, nullptr, 'l'},
                                    {"seed", required_argument, nullptr, 's'},
                                    {"seconds", required_argument, nullptr, 't'},
                                    {nullptr, 0, nullptr, 0}};
   std::string Program;
+  std::string LogFolder;
   std::uint64_t Seed = 1;
   std::chrono::seconds Length{10};
   for (int Option = 0;
@@ -211,6 +215,9 @@
     case 'p':
       Program = optarg;
       break;
+    case 'l':
+      LogFolder = optarg;
+      break;
     case 's':
       Seed = std::strtoull(optarg, nullptr, 10);
       break;
@@ -222,9 +229,9 @@
     }
   }
   if (Program.empty()) {
-    std::cerr << "usage: gentianlug-soak --program NODE [--seed N] "
-                 "[--seconds S]\n";
+    std::cerr << "usage: gentianlug-soak --program NODE [--logs FOLDER] "
+                 "[--seed N] [--seconds S]\n";
     return 2;
   }
-  return soak_run(Program, Seed, Length).run() == 0 ? 0 : 1;
+  return soak_run(Program, LogFolder, Seed, Length).run() == 0 ? 0 : 1;
 }
--- a/standins/node_mesh.cpp
+++ b/standins/node_mesh.cpp
@@ -1,13 +1,10 @@
 #include "node_mesh.h"
 
-#include <arpa/inet.h>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
-#include <netinet/in.h>
 #include <spawn.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -18,21 +15,22 @@
 static constexpr std::chrono::milliseconds AnnouncePeriod{100};
 static constexpr int Ok = 200;
 
-std::uint16_t findFreePort() {
-  int Fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in At{};
-  At.sin_family = AF_INET;
-  At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Size = sizeof At;
-  (void)bind(Fd, reinterpret_cast<sockaddr *>(&At), sizeof At);
-  (void)getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &Size);
-  close(Fd);
-  return ntohs(At.sin_port);
+address nextAddress() {
+  constexpr std::uint16_t FirstPort = 20000;
+  static std::uint16_t Port = FirstPort;
+  constexpr unsigned Byte = 256;
+  auto Pid = unsigned(getpid());
+  std::string Host = "127." + std::to_string(1 + Pid / Byte / Byte % 200) +
+                     "." + std::to_string(Pid / Byte % Byte) + "." +
+                     std::to_string(1 + Pid % 250);
+  return {Host, Port++};
 }
 
-node_mesh::node_mesh(net::event_loop &Loop, std::string Program)
+node_mesh::node_mesh(net::event_loop &Loop, std::string Program,
+                     std::string LogFolder)
     : Store(Loop), Loop(Loop), Program(std::move(Program)),
-      Client(Loop, {}, {}), Heartbeat(Loop, [this] { announceAll(); }) {
+      LogFolder(std::move(LogFolder)), Client(Loop, {}, {}),
+      Heartbeat(Loop, [this] { announceAll(); }) {
   // A node that is killed resets connections of this process.
   std::signal(SIGPIPE, SIG_IGN);
   if (auto Opened = Store.listen(StoreAt); !Opened)
@@ -90,7 +88,7 @@
 void node_mesh::writeSettings(machine &Machine) {
   json Settings = {{"self",
                     {{"nodeName", Machine.Name},
-                     {"ip", "127.0.0.1"},
+                     {"ip", Machine.Inbound.Host},
                      {"zone", Machine.Zone},
                      {"limits", json::object()},
                      {"service", "orders"}}},
@@ -111,8 +109,12 @@
 void node_mesh::spawn(machine &Machine) {
   posix_spawn_file_actions_t Files;
   posix_spawn_file_actions_init(&Files);
+  std::string Log =
+      LogFolder.empty() ? "/dev/null" : LogFolder + "/" + Machine.Name + ".log";
+  constexpr int ReadableByAll = 0644;
   for (int Fd : {STDOUT_FILENO, STDERR_FILENO})
-    posix_spawn_file_actions_addopen(&Files, Fd, "/dev/null", O_WRONLY, 0);
+    posix_spawn_file_actions_addopen(
+        &Files, Fd, Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, ReadableByAll);
   std::string Flag = "--settings";
   char *Arguments[] = {Program.data(), Flag.data(), Machine.SettingsFile.data(),
                        nullptr};
--- a/standins/node_mesh.h
+++ b/standins/node_mesh.h
@@ -11,8 +11,10 @@
 
 namespace gentianlug::standin {
 
-/// Returns a port of the loopback address that was free a moment ago.
-std::uint16_t findFreePort();
+/// Returns an address that nothing else uses: each process has a loopback
+/// number of its own and counts its ports, so that runs side by side never take
+/// calls of each other.
+address nextAddress();
 
 /// A backend server with the node process beside it.
 struct machine {
@@ -23,11 +25,11 @@
   std::uint64_t Sequence = 0;
   /// Whether the server announces itself.
   bool Announces = true;
-  address App{"127.0.0.1", findFreePort()};
-  address Outbound{"127.0.0.1", findFreePort()};
-  address Inbound{"127.0.0.1", findFreePort()};
-  address Ready{"127.0.0.1", findFreePort()};
-  address Control{"127.0.0.1", findFreePort()};
+  address App = nextAddress();
+  address Outbound = nextAddress();
+  address Inbound = nextAddress();
+  address Ready = nextAddress();
+  address Control = nextAddress();
   std::unique_ptr<http1::server> Server;
   /// Calls that are held back while `HoldAnswers` is set.
   std::vector<std::shared_ptr<http1::exchange>> Held;
@@ -43,7 +45,9 @@
 class node_mesh {
 public:
   /// \param Program path of the node's program.
-  node_mesh(net::event_loop &Loop, std::string Program);
+  /// \param LogFolder folder for the logs of the nodes; "" for none.
+  node_mesh(net::event_loop &Loop, std::string Program,
+            std::string LogFolder = "");
   /// Ends the processes that it started.
   ~node_mesh();
   node_mesh(const node_mesh &) = delete;
@@ -82,7 +86,8 @@
 
   net::event_loop &Loop;
   std::string Program;
-  address StoreAt{"127.0.0.1", findFreePort()};
+  std::string LogFolder;
+  address StoreAt = nextAddress();
   http1::client_pool Client;
   net::timer Heartbeat;
   std::uint64_t Asked = 0;
