--- a/libs/http1/include/gentianlug/http1/client_pool.h
+++ b/libs/http1/include/gentianlug/http1/client_pool.h
@@ -58,8 +58,6 @@
               callback Done);
   /// Closes the connection of a request; its callback does not run.
   void cancel(ticket Ticket);
-  /// Closes the kept connections to \p To.
-  void forget(const address &To);
   /// Returns the connections opened so far.
   std::uint64_t opened() const;
 
--- a/libs/http1/src/client_pool.cpp
+++ b/libs/http1/src/client_pool.cpp
@@ -302,16 +302,6 @@
   Connection->end();
 }
 
-void client_pool::forget(const address &To) {
-  auto Found = Impl->Idle.find(To);
-  if (Found == Impl->Idle.end())
-    return;
-  auto All = std::move(Found->second);
-  Impl->Idle.erase(Found);
-  for (auto &Connection : All)
-    Connection->end();
-}
-
 std::uint64_t client_pool::opened() const { return Impl->Opened; }
 
 } // namespace gentianlug::http1
--- a/libs/mesh/include/gentianlug/mesh/server_picker.h
+++ b/libs/mesh/include/gentianlug/mesh/server_picker.h
@@ -65,8 +65,6 @@
   void onEnded(const node_id &Node, try_end End,
                const std::optional<serving_report> &Report, steady_time Now);
 
-  /// Returns whether a server of \p Service in the given version is known.
-  bool knows(const service_name &Service, const version_name &Version) const;
   /// Returns whether a second try may be started beside a running one: some
   /// server of the service has room to spare.
   bool hasRoom(const pick_request &Request, steady_time Now) const;
--- a/libs/mesh/src/server_picker.cpp
+++ b/libs/mesh/src/server_picker.cpp
@@ -207,18 +207,6 @@
   }
 }
 
-bool server_picker::knows(const service_name &Service,
-                          const version_name &Version) const {
-  auto Found = Services.find(Service);
-  if (Found == Services.end())
-    return false;
-  return std::any_of(
-      Found->second.begin(), Found->second.end(), [&](const node_id &Node) {
-        const auto &Record = Endpoints.at(Node).Record;
-        return Record.Version == Version && Record.State == server_state::Ready;
-      });
-}
-
 std::chrono::milliseconds
 server_picker::serviceTime(const node_id &Node) const {
   auto Found = Endpoints.find(Node);
