--- a/standins/node_mesh.cpp
+++ b/standins/node_mesh.cpp
@@ -15,15 +15,19 @@
 static constexpr std::chrono::milliseconds AnnouncePeriod{100};
 static constexpr int Ok = 200;
 
+std::string loopbackHost(unsigned ProcessNumber) {
+  constexpr unsigned Byte = 256;
+  // 127.0 is left to others, 127.255 holds the broadcast address.
+  constexpr unsigned Blocks = 254;
+  return "127." + std::to_string(1 + ProcessNumber / Byte / Byte % Blocks) +
+         "." + std::to_string(ProcessNumber / Byte % Byte) + "." +
+         std::to_string(ProcessNumber % Byte);
+}
+
 address nextAddress() {
   constexpr std::uint16_t FirstPort = 20000;
   static std::uint16_t Port = FirstPort;
-  constexpr unsigned Byte = 256;
-  auto Pid = unsigned(getpid());
-  std::string Host = "127." + std::to_string(1 + Pid / Byte / Byte % 200) +
-                     "." + std::to_string(Pid / Byte % Byte) + "." +
-                     std::to_string(1 + Pid % 250);
-  return {Host, Port++};
+  return {loopbackHost(unsigned(getpid())), Port++};
 }
 
 node_mesh::node_mesh(net::event_loop &Loop, std::string Program,
@@ -215,7 +219,9 @@
 void node_mesh::ask(
     machine &At, const std::string &Method, const std::string &Path,
     std::function<void(const std::string &Id, const http1::response &)> Done) {
-  std::string Id = "q" + std::to_string(++Asked);
+  // Runs side by side must not mistake calls of each other for their own.
+  std::string Id =
+      "q" + std::to_string(getpid()) + "-" + std::to_string(++Asked);
   http1::request Request;
   Request.Method = Method;
   Request.Target = Path;
--- a/standins/node_mesh.h
+++ b/standins/node_mesh.h
@@ -11,6 +11,10 @@
 
 namespace gentianlug::standin {
 
+/// Returns the loopback host of a process; neighbouring numbers, up to 16
+/// million, have different ones.
+std::string loopbackHost(unsigned ProcessNumber);
+
 /// Returns an address that nothing else uses: each process has a loopback
 /// number of its own and counts its ports, so that runs side by side never take
 /// calls of each other.
--- a/standins/platform_api.cpp
+++ b/standins/platform_api.cpp
@@ -12,20 +12,20 @@
 
 using net::http_exchange;
 using net::http_response;
-using platform::platform_errc;
 using std::chrono::milliseconds;
+using store::store_errc;
 
 static constexpr milliseconds WatchCheckPeriod{50};
 static constexpr milliseconds MaxWatchWait{30000};
 
 static int statusOf(const error &Failure) {
-  if (Failure.Code == make_error_code(platform_errc::NotFound))
+  if (Failure.Code == make_error_code(store_errc::NotFound))
     return 404;
-  if (Failure.Code == make_error_code(platform_errc::Conflict))
+  if (Failure.Code == make_error_code(store_errc::Conflict))
     return 409;
-  if (Failure.Code == make_error_code(platform_errc::TooOld))
+  if (Failure.Code == make_error_code(store_errc::TooOld))
     return 410;
-  if (Failure.Code == make_error_code(platform_errc::TooLarge))
+  if (Failure.Code == make_error_code(store_errc::TooLarge))
     return 413;
   return 400;
 }
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -4,12 +4,12 @@
 
 namespace gentianlug::standins {
 
-using platform::platform_errc;
+using store::store_errc;
 
-result<platform::object> platform_store::get(const std::string &Key) const {
+result<store::object> platform_store::get(const std::string &Key) const {
   auto Entry = Objects.find(Key);
   if (Entry == Objects.end())
-    return makeError(platform_errc::NotFound, Key);
+    return makeError(store_errc::NotFound, Key);
   return Entry->second;
 }
 
@@ -24,12 +24,12 @@
 result<object_revision>
 platform_store::put(const std::string &Key, std::string Value,
                     std::optional<object_revision> Expected) {
-  if (Value.size() > platform::MaxValueBytes)
-    return makeError(platform_errc::TooLarge, Key);
+  if (Value.size() > store::MaxValueBytes)
+    return makeError(store_errc::TooLarge, Key);
   auto Entry = Objects.find(Key);
   object_revision Current = Entry == Objects.end() ? 0 : Entry->second.Revision;
   if (Expected && *Expected != Current)
-    return makeError(platform_errc::Conflict, Key);
+    return makeError(store_errc::Conflict, Key);
   object_revision Written = record(Key, Value);
   Objects[Key] = {Key, std::move(Value), Written};
   return Written;
@@ -39,15 +39,15 @@
                                                object_revision Expected) {
   auto Entry = Objects.find(Key);
   if (Entry == Objects.end())
-    return makeError(platform_errc::NotFound, Key);
+    return makeError(store_errc::NotFound, Key);
   if (Entry->second.Revision != Expected)
-    return makeError(platform_errc::Conflict, Key);
+    return makeError(store_errc::Conflict, Key);
   Objects.erase(Entry);
   return record(Key, std::nullopt);
 }
 
-platform::object_list platform_store::list(const std::string &Prefix) const {
-  platform::object_list List;
+store::object_list platform_store::list(const std::string &Prefix) const {
+  store::object_list List;
   for (auto Entry = Objects.lower_bound(Prefix);
        Entry != Objects.end() && Entry->first.starts_with(Prefix); ++Entry)
     List.Objects.push_back(Entry->second);
@@ -55,16 +55,16 @@
   return List;
 }
 
-result<platform::change_batch>
+result<store::change_batch>
 platform_store::changes(const std::string &Prefix,
                         object_revision After) const {
   if (!Log.empty() && After + 1 < Log.front().Revision)
-    return makeError(platform_errc::TooOld, Prefix);
-  platform::change_batch Batch;
+    return makeError(store_errc::TooOld, Prefix);
+  store::change_batch Batch;
   Batch.Revision = Revision;
   auto First = std::upper_bound(
       Log.begin(), Log.end(), After,
-      [](object_revision Revision, const platform::object_change &Change) {
+      [](object_revision Revision, const store::object_change &Change) {
         return Revision < Change.Revision;
       });
   for (; First != Log.end(); ++First)
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -1,8 +1,8 @@
 #ifndef GENTIANLUG_STANDINS_PLATFORM_STORE_H
 #define GENTIANLUG_STANDINS_PLATFORM_STORE_H
 
-#include "gentianlug/platform/object_store.h"
-#include "gentianlug/platform/platform_errc.h"
+#include "gentianlug/store/object_store.h"
+#include "gentianlug/store/store_errc.h"
 
 #include <deque>
 #include <map>
@@ -16,7 +16,7 @@
 /// Versioned objects in memory.
 class platform_store {
 public:
-  result<platform::object> get(const std::string &Key) const;
+  result<store::object> get(const std::string &Key) const;
 
   result<object_revision> put(const std::string &Key, std::string Value,
                               std::optional<object_revision> Expected);
@@ -24,18 +24,18 @@
   result<object_revision> remove(const std::string &Key,
                                  object_revision Expected);
 
-  platform::object_list list(const std::string &Prefix) const;
+  store::object_list list(const std::string &Prefix) const;
 
   /// Returns the changes below \p Prefix after \p After, or `TooOld`.
-  result<platform::change_batch> changes(const std::string &Prefix,
-                                         object_revision After) const;
+  result<store::change_batch> changes(const std::string &Prefix,
+                                      object_revision After) const;
 
 private:
   object_revision record(const std::string &Key,
                          std::optional<std::string> Value);
 
-  std::map<std::string, platform::object> Objects;
-  std::deque<platform::object_change> Log;
+  std::map<std::string, store::object> Objects;
+  std::deque<store::object_change> Log;
   object_revision Revision = 0;
 };
 
