Encode names that other nodes read out of one field

Cause: an id, a route or a service name with a semicolon broke the field of a call between nodes apart: the node beside the server refused the call as malformed and the caller got 502; a line feed in a route name would have added a header field. Found by reading the codec for a fuzz target. Change: bytes other than plain ones travel percent-encoded. Result: the test NamesMayHoldAnyBytes failed before and passes.

--- a/libs/gateway/src/peer_call.cpp
+++ b/libs/gateway/src/peer_call.cpp
@@ -2,12 +2,16 @@
 
 #include <array>
 #include <charconv>
+#include <cstdlib>
+#include <event2/http.h>
+#include <memory>
 #include <string_view>
 
 namespace gentianlug::gateway {
 
 // Fields of the protocol between nodes. Each holds values in a fixed order,
-// separated by semicolons: one field costs less than one for each value.
+// separated by semicolons: one field costs less than one for each value. Names
+// come from callers and operators, so other bytes than plain ones are encoded.
 static constexpr const char *CallField = "gl-call";
 static constexpr const char *ServingField = "gl-serving";
 static constexpr std::size_t CallValues = 10;
@@ -44,12 +48,39 @@
   return true;
 }
 
+namespace {
+
+struct free_delete {
+  void operator()(char *Text) const { std::free(Text); }
+};
+using c_text = std::unique_ptr<char, free_delete>;
+
+} // namespace
+
+/// Returns a name without bytes that separate values or fields.
+static std::string encodeName(const std::string &Name) {
+  constexpr std::string_view Plain =
+      "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/";
+  if (Name.find_first_not_of(Plain) == std::string::npos)
+    return Name;
+  return c_text(evhttp_uriencode(Name.data(), ev_ssize_t(Name.size()), 0))
+      .get();
+}
+
+static std::string decodeName(std::string_view Text) {
+  if (Text.find('%') == std::string_view::npos)
+    return std::string(Text);
+  std::size_t Size = 0;
+  c_text Name(evhttp_uridecode(std::string(Text).c_str(), 0, &Size));
+  return {Name.get(), Size};
+}
+
 void writePeerCall(http1::request &Request, const peer_call &Call) {
   std::string Value;
-  Value.append(Call.Instance).append(";");
-  Value.append(Call.Route.str()).append(";");
-  Value.append(Call.CallerService.str()).append(";");
-  Value.append(Call.CallId).append(";");
+  Value.append(encodeName(Call.Instance)).append(";");
+  Value.append(encodeName(Call.Route.str())).append(";");
+  Value.append(encodeName(Call.CallerService.str())).append(";");
+  Value.append(encodeName(Call.CallId)).append(";");
   Value.append(std::to_string(Call.Deadline.count())).append(";");
   Value.append(std::to_string(Call.MaxWait.count())).append(";");
   Value.append(std::to_string(Call.Rank)).append(";");
@@ -65,10 +96,10 @@
   if (!Field || !split(*Field, Parts))
     return std::nullopt;
   peer_call Call;
-  Call.Instance = Parts[0];
-  Call.Route = route_name(std::string(Parts[1]));
-  Call.CallerService = service_name(std::string(Parts[2]));
-  Call.CallId = Parts[3];
+  Call.Instance = decodeName(Parts[0]);
+  Call.Route = route_name(decodeName(Parts[1]));
+  Call.CallerService = service_name(decodeName(Parts[2]));
+  Call.CallId = decodeName(Parts[3]);
   if (!parse(Parts[4], Call.Deadline) || !parse(Parts[5], Call.MaxWait) ||
       !parse(Parts[6], Call.Rank))
     return std::nullopt;
--- a/libs/gateway/tests/messages_test.cpp
+++ b/libs/gateway/tests/messages_test.cpp
@@ -35,6 +35,21 @@
   UNSIGNED_LONGS_EQUAL(0, Request.Headers.size());
 }
 
+// Guards against ids and names of others that break the field apart, or add
+// fields of their own.
+TEST(PeerCall, NamesMayHoldAnyBytes) {
+  peer_call Call = exampleCall();
+  Call.CallId = "a;b%3b";
+  Call.Route = route_name("r\r\nX: y");
+  Call.CallerService = service_name("ž \x01");
+  http1::request Request;
+  writePeerCall(Request, Call);
+  const std::string *Field = Request.Headers.find("gl-call");
+  CHECK(Field && Field->find('\n') == std::string::npos);
+  auto Taken = takePeerCall(Request);
+  CHECK(Taken && *Taken == Call);
+}
+
 // Guards against a caller that passes for a node.
 TEST(PeerCall, MalformedFieldsAreRefused) {
   for (const char *Value :
