--- a/bench/src/worlds/lease_world.cpp
+++ b/bench/src/worlds/lease_world.cpp
@@ -6,16 +6,16 @@
 
 namespace gentianlug::bench {
 
-using platform::lease_action;
-using platform::lease_operation;
 using std::chrono::milliseconds;
+using store::lease_action;
+using store::lease_operation;
 
 static constexpr milliseconds Step{50};
 
 lease_world::lease_world(std::size_t Count, std::uint64_t Seed) : Gen(Seed) {
   for (std::size_t Index = 1; Index <= Count; ++Index) {
     node_id Node("node-" + std::to_string(Index));
-    Contenders.push_back({platform::lease_contender(Node, {}), false});
+    Contenders.push_back({store::lease_contender(Node, {}), false});
   }
 }
 
--- a/bench/src/worlds/lease_world.h
+++ b/bench/src/worlds/lease_world.h
@@ -3,7 +3,7 @@
 
 #include "gentianlug/core/clock.h"
 #include "gentianlug/core/random.h"
-#include "gentianlug/platform/lease.h"
+#include "gentianlug/store/lease.h"
 
 #include <lua.hpp>
 #include <vector>
@@ -39,18 +39,18 @@
 
 private:
   struct contender {
-    platform::lease_contender Lease;
+    store::lease_contender Lease;
     bool Paused = false;
   };
 
   void step(contender &Contender);
-  void write(contender &Contender, const platform::lease_action &Action);
+  void write(contender &Contender, const store::lease_action &Action);
   std::size_t countHolders() const;
 
   manual_clock Clock;
   generator Gen;
   std::vector<contender> Contenders;
-  platform::observed_lease Stored;
+  store::observed_lease Stored;
   bool StoreDown = false;
   double LostAnswers = 0;
   std::size_t MostHolders = 0;
--- a/libs/net/include/gentianlug/net/platform_client.h
+++ b/libs/net/include/gentianlug/net/platform_client.h
@@ -2,7 +2,7 @@
 #define GENTIANLUG_NET_PLATFORM_CLIENT_H
 
 #include "gentianlug/core/address.h"
-#include "gentianlug/platform/object_store.h"
+#include "gentianlug/store/object_store.h"
 
 #include <memory>
 
@@ -11,22 +11,22 @@
 class event_loop;
 
 /// The platform's object API over HTTP.
-class platform_client final : public platform::object_store {
+class platform_client final : public store::object_store {
 public:
   platform_client(event_loop &Loop, address Platform);
   ~platform_client() override;
 
-  void get(const std::string &Key, callback<platform::object> Done) override;
+  void get(const std::string &Key, callback<store::object> Done) override;
   void put(const std::string &Key, const std::string &Value,
            std::optional<object_revision> Expected,
            callback<object_revision> Done) override;
   void remove(const std::string &Key, object_revision Expected,
               callback<object_revision> Done) override;
   void list(const std::string &Prefix,
-            callback<platform::object_list> Done) override;
+            callback<store::object_list> Done) override;
   void watch(const std::string &Prefix, object_revision After,
              std::chrono::milliseconds Wait,
-             callback<platform::change_batch> Done) override;
+             callback<store::change_batch> Done) override;
 
 private:
   struct impl;
--- a/libs/net/src/platform_client.cpp
+++ b/libs/net/src/platform_client.cpp
@@ -1,17 +1,17 @@
 #include "gentianlug/net/platform_client.h"
 
 #include "gentianlug/net/http_client.h"
-#include "gentianlug/platform/platform_errc.h"
+#include "gentianlug/store/store_errc.h"
 #include "gentianlug/wire/platform_messages.h"
 
 #include <event2/http.h>
 
 namespace gentianlug::net {
 
-using platform::change_batch;
-using platform::object;
-using platform::object_list;
-using platform::platform_errc;
+using store::change_batch;
+using store::object;
+using store::object_list;
+using store::store_errc;
 
 /// The platform answers in milliseconds; two seconds without an answer mean
 /// that it is down or slow.
@@ -24,25 +24,25 @@
   return Copy;
 }
 
-static platform_errc errorOfStatus(int Status) {
+static store_errc errorOfStatus(int Status) {
   switch (Status) {
   case 404:
-    return platform_errc::NotFound;
+    return store_errc::NotFound;
   case 409:
-    return platform_errc::Conflict;
+    return store_errc::Conflict;
   case 410:
-    return platform_errc::TooOld;
+    return store_errc::TooOld;
   case 413:
-    return platform_errc::TooLarge;
+    return store_errc::TooLarge;
   case 429:
-    return platform_errc::RateLimited;
+    return store_errc::RateLimited;
   case 500:
   case 502:
   case 503:
   case 504:
-    return platform_errc::NoAnswer;
+    return store_errc::NoAnswer;
   default:
-    return platform_errc::Refused;
+    return store_errc::Refused;
   }
 }
 
@@ -62,13 +62,13 @@
     auto Finish = [Decode, Where = Method + " " + Request.Target,
                    Done = std::move(Done)](result<http_response> Answer) {
       if (!Answer)
-        return Done(makeError(platform_errc::NoAnswer,
+        return Done(makeError(store_errc::NoAnswer,
                               Where + ": " + Answer.failure().message()));
       if (Answer->Status != 200)
         return Done(makeError(errorOfStatus(Answer->Status), Where));
       result<T> Decoded = Decode(Answer->Body);
       if (!Decoded)
-        return Done(makeError(platform_errc::MalformedAnswer,
+        return Done(makeError(store_errc::MalformedAnswer,
                               Where + ": " + Decoded.failure().message()));
       Done(std::move(Decoded));
     };
--- a/libs/node/include/gentianlug/node/config_fetcher.h
+++ b/libs/node/include/gentianlug/node/config_fetcher.h
@@ -3,8 +3,8 @@
 
 #include "gentianlug/config/model.h"
 #include "gentianlug/config/parts.h"
-#include "gentianlug/platform/config_head.h"
-#include "gentianlug/platform/object_store.h"
+#include "gentianlug/store/config_head.h"
+#include "gentianlug/store/object_store.h"
 
 #include <functional>
 #include <memory>
@@ -24,7 +24,7 @@
 public:
   using callback = std::function<void(result<fetched_configuration>)>;
 
-  config_fetcher(platform::object_store &Store, site_name Site);
+  config_fetcher(store::object_store &Store, site_name Site);
   ~config_fetcher();
 
   /// Reads, assembles and checks the version that \p Head names. A fetch still
@@ -32,7 +32,7 @@
   ///
   /// Errors: `config_errc::UnknownSite`, `MissingPart`, `HashMismatch`,
   /// `InvalidConfiguration`, or an error of the platform.
-  void fetch(const platform::config_head &Head, callback Done);
+  void fetch(const store::config_head &Head, callback Done);
 
 private:
   struct impl;
--- a/libs/node/include/gentianlug/node/messages.h
+++ b/libs/node/include/gentianlug/node/messages.h
@@ -3,9 +3,9 @@
 
 #include "gentianlug/config/model.h"
 #include "gentianlug/membership/member_record.h"
-#include "gentianlug/platform/zone_state.h"
 #include "gentianlug/rollout/evidence.h"
 #include "gentianlug/rollout/rollout_state.h"
+#include "gentianlug/store/zone_state.h"
 #include "gentianlug/wire/server_announcement.h"
 
 #include <map>
@@ -24,7 +24,7 @@
   std::shared_ptr<const config::versioned_configuration> Configuration;
   /// Serving and draining members, by node.
   std::shared_ptr<const std::vector<membership::member_record>> Members;
-  std::map<zone_name, platform::zone_out> ZonesOut;
+  std::map<zone_name, store::zone_out> ZonesOut;
   std::map<service_name, rollout::rollout_state> Rollouts;
   /// The server beside this node, once it has announced itself.
   std::optional<wire::server_announcement> Server;
--- a/libs/node/src/config_fetcher.cpp
+++ b/libs/node/src/config_fetcher.cpp
@@ -2,8 +2,8 @@
 
 #include "gentianlug/config/assembler.h"
 #include "gentianlug/config/config_errc.h"
-#include "gentianlug/platform/keys.h"
-#include "gentianlug/platform/platform_errc.h"
+#include "gentianlug/store/keys.h"
+#include "gentianlug/store/store_errc.h"
 #include "gentianlug/wire/platform_values.h"
 
 namespace gentianlug::node {
@@ -15,21 +15,21 @@
 static constexpr std::size_t MaxReadsInFlight = 8;
 
 struct config_fetcher::impl : std::enable_shared_from_this<impl> {
-  platform::object_store &Store;
+  store::object_store &Store;
   site_name Site;
   /// Parts of the last complete version, by hash.
   std::map<std::string, std::string> Known;
   config::assembler Assembler;
 
   std::uint64_t Generation = 0;
-  platform::config_head Head;
+  store::config_head Head;
   callback Done;
-  platform::site_manifest Manifest;
+  store::site_manifest Manifest;
   std::vector<std::string> Missing;
   std::size_t InFlight = 0;
   std::map<std::string, std::string> Texts;
 
-  impl(platform::object_store &Store, site_name Site)
+  impl(store::object_store &Store, site_name Site)
       : Store(Store), Site(std::move(Site)) {}
 
   void finish(result<fetched_configuration> Result) {
@@ -41,9 +41,9 @@
   void read(const std::string &Hash,
             std::function<void(const std::string &)> Next) {
     auto Self = shared_from_this();
-    Store.get(platform::contentKey(Hash), [Self, Hash, Expected = Generation,
-                                           Next = std::move(Next)](
-                                              result<platform::object> Object) {
+    Store.get(store::contentKey(Hash), [Self, Hash, Expected = Generation,
+                                        Next = std::move(Next)](
+                                           result<store::object> Object) {
       if (Expected != Self->Generation)
         return;
       if (!Object)
@@ -54,7 +54,7 @@
 
   /// A missing object is a fault of the version, no answer one of the moment.
   static error readFailure(const std::string &Hash, const error &Cause) {
-    if (Cause.Code == make_error_code(platform::platform_errc::NotFound))
+    if (Cause.Code == make_error_code(store::store_errc::NotFound))
       return makeError(config_errc::MissingPart, Hash);
     return Cause;
   }
@@ -110,12 +110,12 @@
   }
 };
 
-config_fetcher::config_fetcher(platform::object_store &Store, site_name Site)
+config_fetcher::config_fetcher(store::object_store &Store, site_name Site)
     : Impl(std::make_shared<impl>(Store, std::move(Site))) {}
 
 config_fetcher::~config_fetcher() { ++Impl->Generation; }
 
-void config_fetcher::fetch(const platform::config_head &Head, callback Done) {
+void config_fetcher::fetch(const store::config_head &Head, callback Done) {
   ++Impl->Generation;
   Impl->Head = Head;
   Impl->Done = std::move(Done);
--- a/libs/node/src/control_context.h
+++ b/libs/node/src/control_context.h
@@ -6,8 +6,8 @@
 #include "gentianlug/distribution/node_state.h"
 #include "gentianlug/net/event_loop.h"
 #include "gentianlug/observe/metrics.h"
-#include "gentianlug/platform/object_store.h"
 #include "gentianlug/settings/node_settings.h"
+#include "gentianlug/store/object_store.h"
 
 namespace gentianlug::node {
 
@@ -19,7 +19,7 @@
   observe::metric_set &Metrics;
   const settings::node_settings &Settings;
   distribution::node_state &State;
-  platform::object_store &Platform;
+  store::object_store &Platform;
   incarnation_number Incarnation;
 
   distribution::peer_identity self() const {
--- a/libs/node/src/control_task.cpp
+++ b/libs/node/src/control_task.cpp
@@ -1,7 +1,7 @@
 #include "control_task_impl.h"
 
 #include "gentianlug/observe/log.h"
-#include "gentianlug/platform/keys.h"
+#include "gentianlug/store/keys.h"
 #include "gentianlug/wire/platform_values.h"
 #include "gentianlug/wire/rollout_values.h"
 
@@ -168,9 +168,9 @@
 
 void control_task::impl::decodeLive() {
   for (const auto &[Key, Value] : State.live()) {
-    if (Key == platform::ZonesKey)
+    if (Key == store::ZonesKey)
       decodeZones(Value);
-    else if (Key.starts_with(platform::RolloutPrefix))
+    else if (Key.starts_with(store::RolloutPrefix))
       decodeRollout(Key, Value);
   }
 }
@@ -193,7 +193,7 @@
 void control_task::impl::decodeRollout(const std::string &Key,
                                        const distribution::live_value &Value) {
   service_name Service(
-      Key.substr(std::string_view(platform::RolloutPrefix).size()));
+      Key.substr(std::string_view(store::RolloutPrefix).size()));
   if (!Value.Text) {
     Snapshot.Rollouts.erase(Service);
     return;
--- a/libs/node/src/relay_role.cpp
+++ b/libs/node/src/relay_role.cpp
@@ -2,8 +2,8 @@
 
 #include "gentianlug/config/config_errc.h"
 #include "gentianlug/observe/log.h"
-#include "gentianlug/platform/keys.h"
-#include "gentianlug/platform/platform_errc.h"
+#include "gentianlug/store/keys.h"
+#include "gentianlug/store/store_errc.h"
 #include "gentianlug/wire/lease_values.h"
 #include "gentianlug/wire/platform_values.h"
 #include "relay_slots.h"
@@ -13,9 +13,9 @@
 using namespace distribution;
 using observe::event;
 using observe::logEvent;
-using platform::lease_operation;
-using platform::platform_errc;
 using std::chrono::milliseconds;
+using store::lease_operation;
+using store::store_errc;
 
 static constexpr milliseconds LeaseStep{100};
 
@@ -36,7 +36,7 @@
 /// 6 s, and whoever still renews it then is alive.
 static constexpr milliseconds ContentionLimit{15000};
 
-static bool hasCode(const error &Failure, platform_errc Code) {
+static bool hasCode(const error &Failure, store_errc Code) {
   return Failure.Code == make_error_code(Code);
 }
 
@@ -61,8 +61,7 @@
 void relay_role::findRelays(
     const std::function<void(result<std::vector<relay_entry>>)> &Done) {
   Context.Platform.list(
-      platform::RelayLeasePrefix,
-      [this, Done](result<platform::object_list> List) {
+      store::RelayLeasePrefix, [this, Done](result<store::object_list> List) {
         if (!List) {
           platformFailed(List.failure());
           return Done(List.failure());
@@ -98,8 +97,8 @@
   if (!Contender)
     return;
   LeaseTimer.startOnce(LeaseStep);
-  platform::lease_action Action = Contender->next(Context.now(), Context.Gen);
-  std::string Key = platform::relayLeaseKey(Context.Settings.Zone, Slot);
+  store::lease_action Action = Contender->next(Context.now(), Context.Gen);
+  std::string Key = store::relayLeaseKey(Context.Settings.Zone, Slot);
   if (Action.Operation == lease_operation::Read)
     readLease(Key);
   else if (Action.Operation == lease_operation::Write)
@@ -107,11 +106,11 @@
 }
 
 void relay_role::readLease(const std::string &Key) {
-  Context.Platform.get(Key, [this](const result<platform::object> &Object) {
+  Context.Platform.get(Key, [this](const result<store::object> &Object) {
     if (!Contender)
       return;
     steady_time Now = Context.now();
-    if (!Object && hasCode(Object.failure(), platform_errc::NotFound)) {
+    if (!Object && hasCode(Object.failure(), store_errc::NotFound)) {
       Contender->onRead(Now, std::nullopt);
     } else if (!Object) {
       platformFailed(Object.failure());
@@ -120,15 +119,15 @@
       // An unreadable lease is replaced like an expired one.
       auto Lease = wire::decodeLeaseValue(Object->Value);
       Contender->onRead(
-          Now, platform::observed_lease{
-                   Lease ? *Lease : platform::lease_value{}, Object->Revision});
+          Now, store::observed_lease{Lease ? *Lease : store::lease_value{},
+                                     Object->Revision});
     }
     onLeaseOutcome();
   });
 }
 
 void relay_role::writeLease(const std::string &Key,
-                            const platform::lease_action &Action) {
+                            const store::lease_action &Action) {
   Context.Platform.put(
       Key, wire::encode(Action.Value), Action.Expected,
       [this](const result<object_revision> &Written) {
@@ -137,7 +136,7 @@
         steady_time Now = Context.now();
         if (Written)
           Contender->onWritten(Now, *Written);
-        else if (hasCode(Written.failure(), platform_errc::Conflict))
+        else if (hasCode(Written.failure(), store_errc::Conflict))
           Contender->onConflict(Now);
         else {
           platformFailed(Written.failure());
@@ -211,7 +210,7 @@
     return;
   ListTimer.startOnce(ListPeriod);
   Context.Platform.list(
-      platform::RelayLeasePrefix, [this](result<platform::object_list> List) {
+      store::RelayLeasePrefix, [this](result<store::object_list> List) {
         if (!List)
           return platformFailed(List.failure());
         steady_time Now = Context.now();
@@ -226,8 +225,8 @@
 
 void relay_role::readLive() {
   Context.Platform.list(
-      platform::LivePrefix,
-      [this, Expected = Term](result<platform::object_list> List) {
+      store::LivePrefix,
+      [this, Expected = Term](result<store::object_list> List) {
         if (Expected != Term || !Root)
           return;
         if (!List) {
@@ -237,7 +236,7 @@
         }
         Cut = false;
         Watched = List->Revision;
-        for (const platform::object &Object : List->Objects)
+        for (const store::object &Object : List->Objects)
           onLive(Object.Key, Object.Value, Object.Revision);
         if (!Fetching && std::exchange(FirstReading, false))
           Outputs.Read();
@@ -247,8 +246,8 @@
 
 void relay_role::watchLive() {
   Context.Platform.watch(
-      platform::LivePrefix, Watched, WatchWait,
-      [this, Expected = Term](result<platform::change_batch> Batch) {
+      store::LivePrefix, Watched, WatchWait,
+      [this, Expected = Term](result<store::change_batch> Batch) {
         if (Expected != Term || !Root)
           return;
         if (!Batch) {
@@ -258,7 +257,7 @@
         }
         Cut = false;
         Watched = Batch->Revision;
-        for (const platform::object_change &Change : Batch->Changes)
+        for (const store::object_change &Change : Batch->Changes)
           onLive(Change.Key, Change.Value, Change.Revision);
         watchLive();
       });
@@ -267,7 +266,7 @@
 void relay_role::onLive(const std::string &Key,
                         const std::optional<std::string> &Value,
                         object_revision Revision) {
-  if (Key == platform::ConfigHeadKey) {
+  if (Key == store::ConfigHeadKey) {
     if (Value)
       onHead(*Value);
     return;
@@ -291,7 +290,7 @@
     fetch(*Head);
 }
 
-void relay_role::fetch(const platform::config_head &Head) {
+void relay_role::fetch(const store::config_head &Head) {
   Fetching = Head;
   Fetcher.fetch(Head, [this, Expected = Term,
                        Head](const result<fetched_configuration> &Fetched) {
@@ -306,7 +305,7 @@
          make_error_code(config::config_errc::UnknownSite).category();
 }
 
-void relay_role::onFetched(const platform::config_head &Head,
+void relay_role::onFetched(const store::config_head &Head,
                            const result<fetched_configuration> &Fetched) {
   if (!Fetched && !isFaultOfVersion(Fetched.failure())) {
     platformFailed(Fetched.failure());
@@ -352,12 +351,12 @@
   if (!Writer)
     return;
   tree_report Report = Outputs.Report();
-  platform::zone_status Status;
+  store::zone_status Status;
   Status.Zone = Context.Settings.Zone;
   Status.Site = Context.Settings.Site;
   Status.NodesByVersion = Report.NodesByVersion;
   for (const refusal_report &Refusal : Report.Refusals)
-    if (Status.Refusals.size() < platform::MaxListedRefusals)
+    if (Status.Refusals.size() < store::MaxListedRefusals)
       Status.Refusals.push_back(
           {Refusal.Node, Refusal.Version, Refusal.Reason});
   if (LastStatus && LastStatus->NodesByVersion == Status.NodesByVersion &&
@@ -365,7 +364,7 @@
     return;
   LastStatusWrite = Now;
   Status.UpdatedAt = Context.Clock.wallNow();
-  Context.Platform.put(platform::statusKey(Status.Zone), wire::encode(Status),
+  Context.Platform.put(store::statusKey(Status.Zone), wire::encode(Status),
                        std::nullopt,
                        [this, Status](const result<object_revision> &Written) {
                          if (Written)
--- a/libs/node/src/relay_role.h
+++ b/libs/node/src/relay_role.h
@@ -5,8 +5,8 @@
 #include "gentianlug/distribution/relay_directory.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/node/config_fetcher.h"
-#include "gentianlug/platform/lease.h"
-#include "gentianlug/platform/zone_status.h"
+#include "gentianlug/store/lease.h"
+#include "gentianlug/store/zone_status.h"
 
 #include <functional>
 #include <memory>
@@ -69,7 +69,7 @@
 private:
   void stepLease();
   void readLease(const std::string &Key);
-  void writeLease(const std::string &Key, const platform::lease_action &Action);
+  void writeLease(const std::string &Key, const store::lease_action &Action);
   void onLeaseOutcome();
   void endContention();
   void becomeRoot();
@@ -80,8 +80,8 @@
   void onLive(const std::string &Key, const std::optional<std::string> &Value,
               object_revision Revision);
   void onHead(const std::string &Value);
-  void fetch(const platform::config_head &Head);
-  void onFetched(const platform::config_head &Head,
+  void fetch(const store::config_head &Head);
+  void onFetched(const store::config_head &Head,
                  const result<fetched_configuration> &Fetched);
   void refuse(config_version Version, const error &Reason);
   void writeStatus();
@@ -91,7 +91,7 @@
   outputs Outputs;
   config_fetcher Fetcher;
   distribution::relay_directory Directory;
-  std::optional<platform::lease_contender> Contender;
+  std::optional<store::lease_contender> Contender;
   std::uint32_t Slot = 0;
   steady_time ContentionStart{};
   /// First revision that the contention saw.
@@ -105,12 +105,12 @@
   net::timer FetchRetry;
   net::timer StatusTimer;
   bool StatusPending = false;
-  std::optional<platform::zone_status> LastStatus;
+  std::optional<store::zone_status> LastStatus;
   steady_time LastStatusWrite{};
   object_revision Watched = 0;
   bool FirstReading = true;
   bool Cut = false;
-  std::optional<platform::config_head> Fetching;
+  std::optional<store::config_head> Fetching;
 };
 
 } // namespace gentianlug::node
--- a/libs/node/src/relay_slots.cpp
+++ b/libs/node/src/relay_slots.cpp
@@ -1,6 +1,6 @@
 #include "relay_slots.h"
 
-#include "gentianlug/platform/keys.h"
+#include "gentianlug/store/keys.h"
 #include "gentianlug/wire/lease_values.h"
 
 #include <cstdlib>
@@ -9,10 +9,10 @@
 namespace gentianlug::node {
 
 std::vector<distribution::relay_slot>
-readRelaySlots(const platform::object_list &List) {
+readRelaySlots(const store::object_list &List) {
   std::vector<distribution::relay_slot> Slots;
-  std::string_view Prefix = platform::RelayLeasePrefix;
-  for (const platform::object &Object : List.Objects) {
+  std::string_view Prefix = store::RelayLeasePrefix;
+  for (const store::object &Object : List.Objects) {
     std::size_t Slash = Object.Key.rfind('/');
     auto Lease = wire::decodeLeaseValue(Object.Value);
     if (!Lease || Slash == std::string::npos || Slash <= Prefix.size())
--- a/libs/node/src/relay_slots.h
+++ b/libs/node/src/relay_slots.h
@@ -2,13 +2,13 @@
 #define GENTIANLUG_NODE_RELAY_SLOTS_H
 
 #include "gentianlug/distribution/relay_directory.h"
-#include "gentianlug/platform/object_store.h"
+#include "gentianlug/store/object_store.h"
 
 namespace gentianlug::node {
 
 /// Reads the relay leases out of a listing; malformed ones are skipped.
 std::vector<distribution::relay_slot>
-readRelaySlots(const platform::object_list &List);
+readRelaySlots(const store::object_list &List);
 
 } // namespace gentianlug::node
 
--- a/libs/node/src/rollout_session.cpp
+++ b/libs/node/src/rollout_session.cpp
@@ -1,9 +1,9 @@
 #include "rollout_session.h"
 
 #include "gentianlug/observe/log.h"
-#include "gentianlug/platform/keys.h"
-#include "gentianlug/platform/lease.h"
-#include "gentianlug/platform/platform_errc.h"
+#include "gentianlug/store/keys.h"
+#include "gentianlug/store/lease.h"
+#include "gentianlug/store/store_errc.h"
 #include "gentianlug/wire/lease_values.h"
 #include "gentianlug/wire/rollout_values.h"
 
@@ -11,18 +11,18 @@
 
 using observe::event;
 using observe::logEvent;
-using platform::lease_operation;
-using platform::platform_errc;
 using rollout::controller_operation;
+using store::lease_operation;
+using store::store_errc;
 
-static bool isError(const error &Failure, platform_errc Code) {
+static bool isError(const error &Failure, store_errc Code) {
   return Failure.Code == make_error_code(Code);
 }
 
 struct rollout_session::impl : std::enable_shared_from_this<impl> {
   context Context;
   rollout::controller_task Task;
-  platform::lease_contender Lease;
+  store::lease_contender Lease;
   rollout::rollout_controller Controller;
   std::string LeaseKey;
   std::string StateKey;
@@ -32,8 +32,8 @@
        std::unique_ptr<rollout::verdict_policy> Verdict)
       : Context(std::move(C)), Task(std::move(T)),
         Lease(Context.Node, Task.Control), Controller(Task, std::move(Verdict)),
-        LeaseKey(platform::rolloutLeaseKey(Task.Rollout.Service)),
-        StateKey(platform::rolloutKey(Task.Rollout.Service)) {}
+        LeaseKey(store::rolloutLeaseKey(Task.Rollout.Service)),
+        StateKey(store::rolloutKey(Task.Rollout.Service)) {}
 
   rollout::moment now() const {
     return {Context.Clock.steadyNow(), Context.Clock.wallNow()};
@@ -42,7 +42,7 @@
   /// Wraps the handler of an answer; an answer after the end of the session is
   /// dropped.
   template <class T, class Handler>
-  platform::object_store::callback<T> whenAnswered(Handler Handle) {
+  store::object_store::callback<T> whenAnswered(Handler Handle) {
     ++CallsUnderWay;
     return [Weak = weak_from_this(), Handle](result<T> Answer) {
       auto Self = Weak.lock();
@@ -57,8 +57,8 @@
     auto Action = Lease.next(now().Steady, Context.Gen);
     if (Action.Operation == lease_operation::Read)
       return Context.Store.get(
-          LeaseKey, whenAnswered<platform::object>(
-                        [](impl &Self, result<platform::object> Answer) {
+          LeaseKey, whenAnswered<store::object>(
+                        [](impl &Self, result<store::object> Answer) {
                           Self.onLeaseRead(std::move(Answer));
                         }));
     if (Action.Operation == lease_operation::Write)
@@ -69,22 +69,21 @@
                             }));
   }
 
-  void onLeaseRead(result<platform::object> Answer) {
-    if (!Answer && isError(Answer.failure(), platform_errc::NotFound)) {
+  void onLeaseRead(result<store::object> Answer) {
+    if (!Answer && isError(Answer.failure(), store_errc::NotFound)) {
       Lease.onRead(now().Steady, std::nullopt);
       return driveLease();
     }
     auto Value = Answer ? wire::decodeLeaseValue(Answer->Value)
-                        : result<platform::lease_value>(Answer.failure());
+                        : result<store::lease_value>(Answer.failure());
     if (!Value)
       return Lease.onNoAnswer(now().Steady);
-    Lease.onRead(now().Steady,
-                 platform::observed_lease{*Value, Answer->Revision});
+    Lease.onRead(now().Steady, store::observed_lease{*Value, Answer->Revision});
     driveLease();
   }
 
   void onLeaseWritten(result<object_revision> Answer) {
-    if (!Answer && isError(Answer.failure(), platform_errc::Conflict))
+    if (!Answer && isError(Answer.failure(), store_errc::Conflict))
       return Lease.onConflict(now().Steady);
     if (!Answer)
       return Lease.onNoAnswer(now().Steady);
@@ -101,8 +100,8 @@
     auto Action = Controller.next(now(), Context.Gen);
     if (Action.Operation == controller_operation::Read)
       return Context.Store.get(
-          StateKey, whenAnswered<platform::object>(
-                        [](impl &Self, result<platform::object> Answer) {
+          StateKey, whenAnswered<store::object>(
+                        [](impl &Self, result<store::object> Answer) {
                           Self.onStateRead(std::move(Answer));
                         }));
     if (Action.Operation == controller_operation::Write)
@@ -113,8 +112,8 @@
                             }));
   }
 
-  void onStateRead(result<platform::object> Answer) {
-    if (!Answer && isError(Answer.failure(), platform_errc::NotFound))
+  void onStateRead(result<store::object> Answer) {
+    if (!Answer && isError(Answer.failure(), store_errc::NotFound))
       Controller.onRead(now(), std::nullopt);
     else if (!Answer)
       return Controller.onNoAnswer(now());
@@ -124,7 +123,7 @@
   }
 
   /// A state that cannot be read belongs to no rollout and is overwritten.
-  static rollout::observed_state decodeState(const platform::object &Object) {
+  static rollout::observed_state decodeState(const store::object &Object) {
     auto State = wire::decodeRolloutState(Object.Value);
     if (!State)
       logEvent(event::BadRequest,
@@ -133,7 +132,7 @@
   }
 
   void onStateWritten(result<object_revision> Answer) {
-    if (!Answer && isError(Answer.failure(), platform_errc::Conflict))
+    if (!Answer && isError(Answer.failure(), store_errc::Conflict))
       Controller.onConflict(now());
     else if (!Answer)
       return Controller.onNoAnswer(now());
--- a/libs/node/src/rollout_session.h
+++ b/libs/node/src/rollout_session.h
@@ -3,9 +3,9 @@
 
 #include "gentianlug/core/clock.h"
 #include "gentianlug/core/random.h"
-#include "gentianlug/platform/object_store.h"
 #include "gentianlug/rollout/rollout_controller.h"
 #include "gentianlug/rollout/steering_notice.h"
+#include "gentianlug/store/object_store.h"
 
 #include <memory>
 
@@ -21,7 +21,7 @@
 class rollout_session {
 public:
   struct context {
-    platform::object_store &Store;
+    store::object_store &Store;
     const clock &Clock;
     generator &Gen;
     node_id Node;
--- a/libs/node/tests/rollout_schedule_test.cpp
+++ b/libs/node/tests/rollout_schedule_test.cpp
@@ -1,7 +1,7 @@
-#include "gentianlug/platform/keys.h"
-#include "gentianlug/platform/platform_errc.h"
 #include "gentianlug/rollout/sequential_verdict.h"
 #include "gentianlug/rollout/version_split.h"
+#include "gentianlug/store/keys.h"
+#include "gentianlug/store/store_errc.h"
 #include "gentianlug/wire/rollout_values.h"
 #include "rollout_participation.h"
 
@@ -13,8 +13,8 @@
 using namespace gentianlug;
 using namespace gentianlug::node;
 using namespace std::chrono_literals;
-using platform::platform_errc;
 using rollout::rollout_phase;
+using store::store_errc;
 
 static constexpr auto Step = rollout::JudgementPeriod;
 static constexpr auto AnswerTimeout = 2000ms;
@@ -40,16 +40,16 @@
                               wall_time Now) {
     entry &Entry = Objects[Key];
     if (Entry.Revision != Expected)
-      return makeError(platform_errc::Conflict);
+      return makeError(store_errc::Conflict);
     Entry = {Value, Expected + 1};
-    if (Key.starts_with(platform::RolloutPrefix))
+    if (Key.starts_with(store::RolloutPrefix))
       States.push_back({*wire::decodeRolloutState(Value), Writer, Now});
     return Entry.Revision;
   }
 };
 
 /// One node's way to the platform, with delays and losses.
-struct faulty_store final : platform::object_store {
+struct faulty_store final : store::object_store {
   simulated_platform &Platform;
   const gentianlug::clock &Clock;
   generator &Gen;
@@ -80,7 +80,7 @@
              Answer = Effect();
            if (AnswerLost || !Answer)
              Answers.push_back({Now + AnswerTimeout, [Done] {
-                                  Done(makeError(platform_errc::NoAnswer));
+                                  Done(makeError(store_errc::NoAnswer));
                                 }});
            else
              Answers.push_back({Now + 2 * Delay, [=] { Done(*Answer); }});
@@ -99,14 +99,14 @@
     }
   }
 
-  void get(const std::string &Key, callback<platform::object> Done) override {
-    call<platform::object>(
-        [=, this]() -> result<platform::object> {
+  void get(const std::string &Key, callback<store::object> Done) override {
+    call<store::object>(
+        [=, this]() -> result<store::object> {
           auto Found = Platform.Objects.find(Key);
           if (Found == Platform.Objects.end() || Found->second.Revision == 0)
-            return makeError(platform_errc::NotFound);
-          return platform::object{Key, Found->second.Value,
-                                  Found->second.Revision};
+            return makeError(store_errc::NotFound);
+          return store::object{Key, Found->second.Value,
+                               Found->second.Revision};
         },
         Done);
   }
@@ -123,9 +123,9 @@
 
   void remove(const std::string &, object_revision,
               callback<object_revision>) override {}
-  void list(const std::string &, callback<platform::object_list>) override {}
+  void list(const std::string &, callback<store::object_list>) override {}
   void watch(const std::string &, object_revision, std::chrono::milliseconds,
-             callback<platform::change_batch>) override {}
+             callback<store::change_batch>) override {}
 };
 
 enum class version_kind : std::uint8_t { Good, Failing, FailingLater };
@@ -227,7 +227,7 @@
   }
 
   void operatorWrites() {
-    std::string Key = platform::rolloutKey(Service.Name);
+    std::string Key = store::rolloutKey(Service.Name);
     auto Found = Platform.Objects.find(Key);
     if (Platform.Down || Found == Platform.Objects.end())
       return;
--- a/libs/operator/include/gentianlug/operator/accept.h
+++ b/libs/operator/include/gentianlug/operator/accept.h
@@ -3,7 +3,7 @@
 
 #include "gentianlug/config/model.h"
 #include "gentianlug/operator/sync_store.h"
-#include "gentianlug/platform/acceptance.h"
+#include "gentianlug/store/acceptance.h"
 
 #include <string>
 #include <vector>
@@ -23,7 +23,7 @@
 struct acceptance_result {
   /// The content is in force already; nothing was written.
   bool AlreadyInForce = false;
-  platform::accepted_version Version;
+  store::accepted_version Version;
   std::size_t ObjectsWritten = 0;
 };
 
@@ -34,7 +34,7 @@
 /// \returns `operator_errc::Refused` when somebody else was faster, naming the
 /// winner, or `PlatformDown`.
 result<acceptance_result>
-acceptConfiguration(sync_store &Store, const platform::observed_head &Current,
+acceptConfiguration(sync_store &Store, const store::observed_head &Current,
                     const std::vector<config::site_configuration> &Sites,
                     const acceptance_request &Request, wall_time Now);
 
@@ -43,7 +43,7 @@
 /// \returns as `acceptConfiguration`; `Refused` when the head no longer knows
 /// the version.
 result<acceptance_result> acceptEarlier(sync_store &Store,
-                                        const platform::observed_head &Current,
+                                        const store::observed_head &Current,
                                         config_version Back,
                                         const acceptance_request &Request,
                                         wall_time Now);
--- a/libs/operator/include/gentianlug/operator/mesh_reader.h
+++ b/libs/operator/include/gentianlug/operator/mesh_reader.h
@@ -3,10 +3,10 @@
 
 #include "gentianlug/config/parts.h"
 #include "gentianlug/operator/sync_store.h"
-#include "gentianlug/platform/acceptance.h"
-#include "gentianlug/platform/zone_state.h"
-#include "gentianlug/platform/zone_status.h"
 #include "gentianlug/rollout/rollout_state.h"
+#include "gentianlug/store/acceptance.h"
+#include "gentianlug/store/zone_state.h"
+#include "gentianlug/store/zone_status.h"
 
 #include <set>
 
@@ -17,17 +17,17 @@
 // `operator_errc::Refused` when a value is malformed or missing.
 
 /// Reads the head; version and revision are 0 before the first version.
-result<platform::observed_head> readHead(sync_store &Store);
+result<store::observed_head> readHead(sync_store &Store);
 
-result<platform::config_manifest> readManifest(sync_store &Store,
-                                               const std::string &Hash);
+result<store::config_manifest> readManifest(sync_store &Store,
+                                            const std::string &Hash);
 
 /// Reads one site of a version.
 ///
 /// \param Known parts that need not be read, for example those of a compiled
 /// configuration that is to be compared.
 result<config::site_configuration> readSite(sync_store &Store,
-                                            const platform::site_manifest &Site,
+                                            const store::site_manifest &Site,
                                             const config::part_map &Known);
 
 /// Reads all sites of a version.
@@ -39,11 +39,11 @@
 
 /// Reads the names of the zones of all sites of the version in force.
 result<std::set<zone_name>> readZoneNames(sync_store &Store,
-                                          const platform::config_head &Head);
+                                          const store::config_head &Head);
 
 /// What the nodes report about the configuration in force.
 struct status_view {
-  std::vector<platform::zone_status> Zones;
+  std::vector<store::zone_status> Zones;
   /// Keys of malformed values.
   std::vector<std::string> Unreadable;
   object_revision Revision = 0;
@@ -58,7 +58,7 @@
 result<rollouts_view> readRollouts(sync_store &Store);
 
 /// Reads `live/zones`; without the object no zone is out.
-result<platform::zone_state> readZones(sync_store &Store);
+result<store::zone_state> readZones(sync_store &Store);
 
 } // namespace gentianlug::operator_cli
 
--- a/libs/operator/include/gentianlug/operator/moves.h
+++ b/libs/operator/include/gentianlug/operator/moves.h
@@ -1,8 +1,8 @@
 #ifndef GENTIANLUG_OPERATOR_MOVES_H
 #define GENTIANLUG_OPERATOR_MOVES_H
 
-#include "gentianlug/platform/zone_state.h"
 #include "gentianlug/rollout/rollout_state.h"
+#include "gentianlug/store/zone_state.h"
 
 #include <set>
 #include <string>
@@ -47,14 +47,14 @@
                                    rollout_move Move,
                                    const move_request &Request);
 
-using zone_decision = move_decision<platform::zone_state>;
+using zone_decision = move_decision<store::zone_state>;
 
 /// Decides to take \p Zone out or to bring it back. An unknown zone and the
 /// last one in service are not taken out.
 ///
 /// \param Current the present state; null when no zone was ever moved.
 /// \param Known the zones of the configuration in force.
-zone_decision decideZoneMove(const platform::zone_state *Current,
+zone_decision decideZoneMove(const store::zone_state *Current,
                              const std::set<zone_name> &Known,
                              const zone_name &Zone, bool TakeOut,
                              const move_request &Request);
--- a/libs/operator/include/gentianlug/operator/progress.h
+++ b/libs/operator/include/gentianlug/operator/progress.h
@@ -1,9 +1,9 @@
 #ifndef GENTIANLUG_OPERATOR_PROGRESS_H
 #define GENTIANLUG_OPERATOR_PROGRESS_H
 
-#include "gentianlug/platform/zone_state.h"
-#include "gentianlug/platform/zone_status.h"
 #include "gentianlug/rollout/rollout_state.h"
+#include "gentianlug/store/zone_state.h"
+#include "gentianlug/store/zone_status.h"
 
 #include <set>
 #include <vector>
@@ -25,7 +25,7 @@
   /// Zones in service from which no node has reported.
   std::vector<zone_name> Silent;
   /// Refusals of this version.
-  std::vector<platform::config_refusal> Refusals;
+  std::vector<store::config_refusal> Refusals;
 
   /// Nodes of the zones in service; zones that are out do not count, since
   /// their machines may be off.
@@ -43,10 +43,10 @@
 ///
 /// \param Known the zones of the configuration.
 /// \param Out the zones that operators have taken out.
-version_progress progressOf(const std::vector<platform::zone_status> &Zones,
+version_progress progressOf(const std::vector<store::zone_status> &Zones,
                             config_version Version,
                             const std::set<zone_name> &Known,
-                            const platform::zone_state &Out);
+                            const store::zone_state &Out);
 
 /// Where a rollout stands for somebody who waits for its end.
 enum class rollout_outcome : std::uint8_t { Open, Done, TakenBack };
--- a/libs/operator/include/gentianlug/operator/sync_store.h
+++ b/libs/operator/include/gentianlug/operator/sync_store.h
@@ -3,31 +3,31 @@
 
 #include "gentianlug/core/random.h"
 #include "gentianlug/operator/operation_driver.h"
-#include "gentianlug/platform/object_store.h"
-#include "gentianlug/platform/platform_errc.h"
+#include "gentianlug/store/object_store.h"
+#include "gentianlug/store/store_errc.h"
 
 namespace gentianlug::operator_cli {
 
 /// The object store for commands, which do one operation after the other.
 ///
-/// Operations that may be repeated are retried by `platform::retry_schedule`
+/// Operations that may be repeated are retried by `store::retry_schedule`
 /// when the platform does not answer or refuses for its rate limit. After the
 /// last retry they return `operator_errc::PlatformDown`.
 class sync_store {
 public:
-  sync_store(platform::object_store &Store, operation_driver &Driver,
+  sync_store(store::object_store &Store, operation_driver &Driver,
              generator &Gen)
       : Store(Store), Driver(Driver), Gen(Gen) {}
 
-  result<platform::object> get(const std::string &Key);
-  result<platform::object_list> list(const std::string &Prefix);
-  result<platform::change_batch> watch(const std::string &Prefix,
-                                       object_revision After,
-                                       std::chrono::milliseconds Wait);
+  result<store::object> get(const std::string &Key);
+  result<store::object_list> list(const std::string &Prefix);
+  result<store::change_batch> watch(const std::string &Prefix,
+                                    object_revision After,
+                                    std::chrono::milliseconds Wait);
 
   /// Writes an object on the condition that it has the revision \p Expected.
   ///
-  /// \returns the new revision. After `platform_errc::NoAnswer` the outcome is
+  /// \returns the new revision. After `store_errc::NoAnswer` the outcome is
   /// open: read the object again.
   result<object_revision> putIf(const std::string &Key,
                                 const std::string &Value,
@@ -46,14 +46,14 @@
   template <class T, class Operation>
   result<T> repeat(const Operation &Start, bool RetryNoAnswer);
 
-  platform::object_store &Store;
+  store::object_store &Store;
   operation_driver &Driver;
   generator &Gen;
 };
 
 /// Returns whether \p Failure has the code \p Code of the object store.
-inline bool hasCode(const error &Failure, platform::platform_errc Code) {
-  return Failure.Code == platform::make_error_code(Code);
+inline bool hasCode(const error &Failure, store::store_errc Code) {
+  return Failure.Code == store::make_error_code(Code);
 }
 
 } // namespace gentianlug::operator_cli
--- a/libs/operator/src/accept.cpp
+++ b/libs/operator/src/accept.cpp
@@ -4,18 +4,18 @@
 #include "gentianlug/core/hash.h"
 #include "gentianlug/operator/mesh_reader.h"
 #include "gentianlug/operator/operator_errc.h"
-#include "gentianlug/platform/keys.h"
+#include "gentianlug/store/keys.h"
 #include "gentianlug/wire/platform_values.h"
 
 #include <set>
 
 namespace gentianlug::operator_cli {
 
-using platform::accepted_version;
-using platform::config_head;
-using platform::observed_head;
-using platform::platform_errc;
-using platform::write_outcome;
+using store::accepted_version;
+using store::config_head;
+using store::observed_head;
+using store::store_errc;
+using store::write_outcome;
 
 /// Writes of the head after lost answers, before the command gives up.
 static constexpr unsigned MaxHeadWrites = 5;
@@ -33,7 +33,7 @@
 static version_objects
 cutSites(const std::vector<config::site_configuration> &Sites) {
   version_objects Objects;
-  platform::config_manifest Manifest;
+  store::config_manifest Manifest;
   for (const config::site_configuration &Site : Sites) {
     config::part_map Parts = config::cutIntoParts(Site);
     config::part_hashes Hashes = config::hashesOf(Parts);
@@ -78,13 +78,13 @@
   for (const auto &[Hash, Text] : Objects.Parts) {
     if (Present.count(Hash))
       continue;
-    auto Written = Store.putContent(platform::contentKey(Hash), Text);
+    auto Written = Store.putContent(store::contentKey(Hash), Text);
     if (!Written)
       return contentFailure(Written.failure());
     ++Count;
   }
   auto Written =
-      Store.putContent(platform::contentKey(contentHash(Objects.ManifestText)),
+      Store.putContent(store::contentKey(contentHash(Objects.ManifestText)),
                        Objects.ManifestText);
   if (!Written)
     return contentFailure(Written.failure());
@@ -113,18 +113,18 @@
                                           const observed_head &Current,
                                           const config_head &Next) {
   for (unsigned Try = 0; Try < MaxHeadWrites; ++Try) {
-    auto Written = Store.putIf(platform::ConfigHeadKey, wire::encode(Next),
-                               Current.Revision);
+    auto Written =
+        Store.putIf(store::ConfigHeadKey, wire::encode(Next), Current.Revision);
     if (Written)
-      return *platform::findVersion(Next, Next.Version);
-    bool Open = hasCode(Written.failure(), platform_errc::NoAnswer) ||
-                hasCode(Written.failure(), platform_errc::Conflict);
+      return *store::findVersion(Next, Next.Version);
+    bool Open = hasCode(Written.failure(), store_errc::NoAnswer) ||
+                hasCode(Written.failure(), store_errc::Conflict);
     if (!Open)
       return contentFailure(Written.failure());
     auto Observed = readHead(Store);
     if (!Observed)
       return unknownOutcome(Next.Version, Observed.failure());
-    auto Verdict = platform::judgeWrite(Next, Current.Revision, *Observed);
+    auto Verdict = store::judgeWrite(Next, Current.Revision, *Observed);
     if (Verdict.Outcome == write_outcome::Accepted)
       return Verdict.Version;
     if (Verdict.Outcome == write_outcome::LostRace)
@@ -133,7 +133,7 @@
       return unknownOutcome(Next.Version, Written.failure());
   }
   return unknownOutcome(Next.Version,
-                        makeError(platform_errc::NoAnswer, "live/config"));
+                        makeError(store_errc::NoAnswer, "live/config"));
 }
 
 static result<acceptance_result>
@@ -142,8 +142,8 @@
          const acceptance_request &Request, wall_time Now) {
   auto Accepted = writeHead(
       Store, Current,
-      platform::nextHead(Current.Head, {ManifestHash, Request.Author,
-                                        Request.Reason, Now, Request.WriteId}));
+      store::nextHead(Current.Head, {ManifestHash, Request.Author,
+                                     Request.Reason, Now, Request.WriteId}));
   if (!Accepted)
     return Accepted.failure();
   return acceptance_result{false, std::move(*Accepted), ObjectsWritten};
@@ -151,7 +151,7 @@
 
 static acceptance_result alreadyInForce(const config_head &Head,
                                         std::size_t ObjectsWritten) {
-  return {true, *platform::findVersion(Head, Head.Version), ObjectsWritten};
+  return {true, *store::findVersion(Head, Head.Version), ObjectsWritten};
 }
 
 result<acceptance_result>
@@ -189,12 +189,12 @@
                                         config_version Back,
                                         const acceptance_request &Request,
                                         wall_time Now) {
-  auto Earlier = platform::findVersion(Current.Head, Back);
+  auto Earlier = store::findVersion(Current.Head, Back);
   if (!Earlier)
     return makeError(operator_errc::Refused,
                      "version " + std::to_string(Back) +
                          " is not among the last " +
-                         std::to_string(platform::KeptVersions) +
+                         std::to_string(store::KeptVersions) +
                          " versions; history lists them");
   if (Earlier->ManifestHash == Current.Head.ManifestHash)
     return alreadyInForce(Current.Head, 0);
--- a/libs/operator/src/apply_commands.cpp
+++ b/libs/operator/src/apply_commands.cpp
@@ -4,7 +4,7 @@
 #include "gentianlug/operator/accept.h"
 #include "gentianlug/operator/mesh_reader.h"
 #include "gentianlug/operator/operator_errc.h"
-#include "gentianlug/platform/keys.h"
+#include "gentianlug/store/keys.h"
 #include "text.h"
 
 #include <algorithm>
@@ -12,7 +12,7 @@
 namespace gentianlug::operator_cli {
 
 using config::site_configuration;
-using platform::observed_head;
+using store::observed_head;
 
 namespace {
 
@@ -51,7 +51,7 @@
                      Head.failure().Detail +
                          "; find the newest version in force with status and "
                          "name it with --after-version");
-  auto Object = Context.Store.get(platform::ConfigHeadKey);
+  auto Object = Context.Store.get(store::ConfigHeadKey);
   if (!Object)
     return Object.failure();
   observed_head Replaced;
@@ -62,7 +62,7 @@
 
 /// Reads the sites of an accepted version, without the parts in \p Known.
 static result<site_set> readVersion(sync_store &Store,
-                                    const platform::accepted_version &Version,
+                                    const store::accepted_version &Version,
                                     const config::part_map &Known) {
   auto Sites = readSites(Store, Version.ManifestHash, Known);
   if (!Sites)
@@ -71,9 +71,9 @@
 }
 
 static result<site_set> readInForce(sync_store &Store,
-                                    const platform::config_head &Head,
+                                    const store::config_head &Head,
                                     const config::part_map &Known) {
-  auto Newest = platform::findVersion(Head, Head.Version);
+  auto Newest = store::findVersion(Head, Head.Version);
   if (!Newest || Newest->ManifestHash.empty())
     return site_set{};
   return readVersion(Store, *Newest, Known);
@@ -123,7 +123,7 @@
 
 /// Refuses to lose a site that an overlay was forgotten for.
 static result<void> checkSites(command_context &Context,
-                               const platform::config_head &Head) {
+                               const store::config_head &Head) {
   if (Head.Version == 0 || Head.ManifestHash.empty())
     return {};
   auto Manifest = readManifest(Context.Store, Head.ManifestHash);
@@ -216,7 +216,7 @@
 
 static result<std::vector<site_configuration>>
 readEarlier(command_context &Context, const observed_head &Head) {
-  auto Earlier = platform::findVersion(Head.Head, *Context.Options.BackTo);
+  auto Earlier = store::findVersion(Head.Head, *Context.Options.BackTo);
   if (!Earlier)
     return makeError(operator_errc::Refused,
                      "version " + std::to_string(*Context.Options.BackTo) +
--- a/libs/operator/src/detail/conditional_update.h
+++ b/libs/operator/src/detail/conditional_update.h
@@ -24,7 +24,7 @@
 result<observed_value<T>> observe(sync_store &Store, const std::string &Key,
                                   result<T> (*Decode)(std::string_view)) {
   auto Object = Store.get(Key);
-  if (!Object && hasCode(Object.failure(), platform::platform_errc::NotFound))
+  if (!Object && hasCode(Object.failure(), store::store_errc::NotFound))
     return observed_value<T>{};
   if (!Object)
     return Object.failure();
@@ -65,8 +65,8 @@
         Store.putIf(Key, wire::encode(Decision.Next), Observed->Revision);
     if (Written)
       return Decision;
-    bool Open = hasCode(Written.failure(), platform::platform_errc::NoAnswer) ||
-                hasCode(Written.failure(), platform::platform_errc::Conflict);
+    bool Open = hasCode(Written.failure(), store::store_errc::NoAnswer) ||
+                hasCode(Written.failure(), store::store_errc::Conflict);
     if (!Open)
       return Written.failure();
     LastState = Value ? Describe(*Value) : "no state";
--- a/libs/operator/src/facts.cpp
+++ b/libs/operator/src/facts.cpp
@@ -12,7 +12,7 @@
       .count();
 }
 
-json factsOf(const platform::accepted_version &Version) {
+json factsOf(const store::accepted_version &Version) {
   return {{"version", Version.Version},
           {"author", Version.Author},
           {"reason", Version.Reason},
@@ -62,20 +62,20 @@
           {"out", Progress.IsOut}};
 }
 
-json factsOf(const platform::config_refusal &Refusal) {
+json factsOf(const store::config_refusal &Refusal) {
   return {{"node", Refusal.Node.str()},
           {"version", Refusal.Version},
           {"reason", Refusal.Reason}};
 }
 
-json factsOf(const zone_name &Zone, const platform::zone_out &Out) {
+json factsOf(const zone_name &Zone, const store::zone_out &Out) {
   return {{"zone", Zone.str()},
           {"author", Out.Author},
           {"reason", Out.Reason},
           {"since_ms", millisOf(Out.Since)}};
 }
 
-json factsOf(const platform::zone_move &Move) {
+json factsOf(const store::zone_move &Move) {
   return {{"zone", Move.Zone.str()},
           {"out", Move.IsOut},
           {"author", Move.Author},
--- a/libs/operator/src/facts.h
+++ b/libs/operator/src/facts.h
@@ -5,8 +5,8 @@
 #include "gentianlug/config/difference.h"
 #include "gentianlug/config/explain.h"
 #include "gentianlug/operator/progress.h"
-#include "gentianlug/platform/config_head.h"
-#include "gentianlug/platform/zone_state.h"
+#include "gentianlug/store/config_head.h"
+#include "gentianlug/store/zone_state.h"
 
 #include <nlohmann/json.hpp>
 
@@ -16,14 +16,14 @@
 
 std::int64_t millisOf(wall_time Time);
 
-nlohmann::json factsOf(const platform::accepted_version &Version);
+nlohmann::json factsOf(const store::accepted_version &Version);
 nlohmann::json factsOf(const config::compile_fault &Fault);
 nlohmann::json factsOf(const config::config_change &Change);
 nlohmann::json factsOf(const config::value_origin &Origin);
 nlohmann::json factsOf(const zone_progress &Progress);
-nlohmann::json factsOf(const platform::config_refusal &Refusal);
-nlohmann::json factsOf(const zone_name &Zone, const platform::zone_out &Out);
-nlohmann::json factsOf(const platform::zone_move &Move);
+nlohmann::json factsOf(const store::config_refusal &Refusal);
+nlohmann::json factsOf(const zone_name &Zone, const store::zone_out &Out);
+nlohmann::json factsOf(const store::zone_move &Move);
 nlohmann::json factsOf(const rollout::rollout_state &State, wall_time Now);
 
 /// Returns the facts of all items as an array.
--- a/libs/operator/src/gc_command.cpp
+++ b/libs/operator/src/gc_command.cpp
@@ -1,29 +1,29 @@
 #include "command_groups.h"
 #include "detail/conditional_update.h"
 #include "gentianlug/operator/mesh_reader.h"
-#include "gentianlug/platform/garbage.h"
-#include "gentianlug/platform/keys.h"
+#include "gentianlug/store/garbage.h"
+#include "gentianlug/store/keys.h"
 #include "gentianlug/wire/platform_values.h"
 
 namespace gentianlug::operator_cli {
 
-using platform::platform_errc;
+using store::store_errc;
 
 /// Objects are listed by the first two digits of their hashes, since one list
 /// returns every value and all values together may be large.
 static constexpr unsigned ListCount = 256;
 
-static result<std::vector<platform::stored_content>>
+static result<std::vector<store::stored_content>>
 listContent(sync_store &Store) {
-  std::vector<platform::stored_content> Stored;
+  std::vector<store::stored_content> Stored;
   for (unsigned Number = 0; Number < ListCount; ++Number) {
     static constexpr char Digits[] = "0123456789abcdef";
-    std::string Prefix = std::string(platform::ContentPrefix) +
+    std::string Prefix = std::string(store::ContentPrefix) +
                          Digits[Number / 16] + Digits[Number % 16];
     auto List = Store.list(Prefix);
     if (!List)
       return List.failure();
-    for (const platform::object &Object : List->Objects)
+    for (const store::object &Object : List->Objects)
       Stored.push_back({Object.Key, Object.Revision});
   }
   return Stored;
@@ -36,9 +36,9 @@
   if (!Head)
     return Head.failure();
   std::set<std::string> Keys;
-  for (const platform::accepted_version &Version :
-       platform::knownVersions(Head->Head)) {
-    std::string Key = platform::contentKey(Version.ManifestHash);
+  for (const store::accepted_version &Version :
+       store::knownVersions(Head->Head)) {
+    std::string Key = store::contentKey(Version.ManifestHash);
     if (!Keys.insert(Key).second)
       continue;
     auto Manifest = readManifest(Store, Version.ManifestHash);
@@ -49,7 +49,7 @@
       continue;
     for (const auto &[Name, Site] : Manifest->Sites)
       for (const auto &[Part, Hash] : Site.Parts)
-        Keys.insert(platform::contentKey(Hash));
+        Keys.insert(store::contentKey(Hash));
   }
   return Keys;
 }
@@ -57,17 +57,17 @@
 /// Stores the marks before anything is removed; of two collectors that run at
 /// a time, one ends here.
 static result<void>
-storeMarks(sync_store &Store, const platform::garbage_marks &Marks,
-           const detail::observed_value<platform::garbage_marks> &Before) {
+storeMarks(sync_store &Store, const store::garbage_marks &Marks,
+           const detail::observed_value<store::garbage_marks> &Before) {
   if (Before.Value && *Before.Value == Marks)
     return {};
-  auto Written = Store.putIf(platform::GarbageMarksKey, wire::encode(Marks),
-                             Before.Revision);
+  auto Written =
+      Store.putIf(store::GarbageMarksKey, wire::encode(Marks), Before.Revision);
   if (Written)
     return {};
-  if (hasCode(Written.failure(), platform_errc::NoAnswer))
+  if (hasCode(Written.failure(), store_errc::NoAnswer))
     return makeError(operator_errc::PlatformDown, Written.failure().message());
-  if (hasCode(Written.failure(), platform_errc::Conflict))
+  if (hasCode(Written.failure(), store_errc::Conflict))
     return makeError(operator_errc::Refused,
                      "another collection ran at the same time");
   return Written.failure();
@@ -76,13 +76,13 @@
 /// Removes what still has the marked revision; returns how many it removed.
 static result<std::size_t>
 removeObjects(sync_store &Store,
-              const std::vector<platform::stored_content> &Removals) {
+              const std::vector<store::stored_content> &Removals) {
   std::size_t Count = 0;
-  for (const platform::stored_content &Object : Removals) {
+  for (const store::stored_content &Object : Removals) {
     auto Removed = Store.remove(Object.Key, Object.Revision);
     bool Changed =
-        !Removed && (hasCode(Removed.failure(), platform_errc::Conflict) ||
-                     hasCode(Removed.failure(), platform_errc::NotFound));
+        !Removed && (hasCode(Removed.failure(), store_errc::Conflict) ||
+                     hasCode(Removed.failure(), store_errc::NotFound));
     if (!Removed && !Changed)
       return Removed.failure();
     Count += Removed ? 1 : 0;
@@ -92,8 +92,8 @@
 
 result<command_report> runGc(command_context &Context) {
   sync_store &Store = Context.Store;
-  auto Before = detail::observe(Store, platform::GarbageMarksKey,
-                                wire::decodeGarbageMarks);
+  auto Before =
+      detail::observe(Store, store::GarbageMarksKey, wire::decodeGarbageMarks);
   if (!Before)
     return Before.failure();
   auto Stored = listContent(Store);
@@ -104,8 +104,8 @@
   auto References = listReferences(Store);
   if (!References)
     return References.failure();
-  platform::collection_plan Plan = platform::planCollection(
-      *Stored, *References, Before->Value.value_or(platform::garbage_marks{}),
+  store::collection_plan Plan = store::planCollection(
+      *Stored, *References, Before->Value.value_or(store::garbage_marks{}),
       Context.Driver.wallNow());
   if (auto Written = storeMarks(Store, Plan.Marks, *Before); !Written)
     return Written.failure();
--- a/libs/operator/src/mesh_reader.cpp
+++ b/libs/operator/src/mesh_reader.cpp
@@ -1,13 +1,13 @@
 #include "gentianlug/operator/mesh_reader.h"
 
 #include "gentianlug/operator/operator_errc.h"
-#include "gentianlug/platform/keys.h"
+#include "gentianlug/store/keys.h"
 #include "gentianlug/wire/platform_values.h"
 #include "gentianlug/wire/rollout_values.h"
 
 namespace gentianlug::operator_cli {
 
-using platform::platform_errc;
+using store::store_errc;
 
 /// Keeps `PlatformDown`; other errors of the store become `Refused`.
 static error readFailure(const error &Cause) {
@@ -29,10 +29,10 @@
   return Value;
 }
 
-result<platform::observed_head> readHead(sync_store &Store) {
-  auto Object = Store.get(platform::ConfigHeadKey);
-  if (!Object && hasCode(Object.failure(), platform_errc::NotFound))
-    return platform::observed_head{};
+result<store::observed_head> readHead(sync_store &Store) {
+  auto Object = Store.get(store::ConfigHeadKey);
+  if (!Object && hasCode(Object.failure(), store_errc::NotFound))
+    return store::observed_head{};
   if (!Object)
     return readFailure(Object.failure());
   auto Head = wire::decodeConfigHead(Object->Value);
@@ -40,17 +40,16 @@
     return makeError(operator_errc::Refused,
                      "live/config on the platform is malformed: " +
                          Head.failure().message());
-  return platform::observed_head{std::move(*Head), Object->Revision};
+  return store::observed_head{std::move(*Head), Object->Revision};
 }
 
-result<platform::config_manifest> readManifest(sync_store &Store,
-                                               const std::string &Hash) {
-  return readValue(Store, platform::contentKey(Hash),
-                   wire::decodeConfigManifest);
+result<store::config_manifest> readManifest(sync_store &Store,
+                                            const std::string &Hash) {
+  return readValue(Store, store::contentKey(Hash), wire::decodeConfigManifest);
 }
 
 result<config::site_configuration> readSite(sync_store &Store,
-                                            const platform::site_manifest &Site,
+                                            const store::site_manifest &Site,
                                             const config::part_map &Known) {
   std::map<std::string, const config::part *> ByHash;
   for (const auto &[Name, Part] : Known)
@@ -62,7 +61,7 @@
       Parts.emplace(Name, *Found->second);
       continue;
     }
-    auto Object = Store.get(platform::contentKey(Hash));
+    auto Object = Store.get(store::contentKey(Hash));
     if (!Object)
       return readFailure(Object.failure());
     Parts.emplace(Name, config::part{Hash, std::move(Object->Value)});
@@ -94,7 +93,7 @@
 
 /// Adds the zones of one site; only the part with the zones is read.
 static result<void> addZones(sync_store &Store,
-                             const platform::site_manifest &Site,
+                             const store::site_manifest &Site,
                              std::set<zone_name> &Zones) {
   auto Hash = Site.Parts.find(SitePart);
   if (Hash == Site.Parts.end())
@@ -109,7 +108,7 @@
 }
 
 result<std::set<zone_name>> readZoneNames(sync_store &Store,
-                                          const platform::config_head &Head) {
+                                          const store::config_head &Head) {
   std::set<zone_name> Zones;
   if (Head.Version == 0)
     return Zones;
@@ -124,11 +123,11 @@
 
 /// Decodes a list of objects and collects the keys of malformed ones.
 template <class T>
-static std::vector<T> decodeAll(const platform::object_list &List,
+static std::vector<T> decodeAll(const store::object_list &List,
                                 result<T> (*Decode)(std::string_view),
                                 std::vector<std::string> &Unreadable) {
   std::vector<T> Values;
-  for (const platform::object &Object : List.Objects) {
+  for (const store::object &Object : List.Objects) {
     auto Value = Decode(Object.Value);
     if (Value)
       Values.push_back(std::move(*Value));
@@ -139,7 +138,7 @@
 }
 
 result<status_view> readStatus(sync_store &Store) {
-  auto List = Store.list(platform::StatusPrefix);
+  auto List = Store.list(store::StatusPrefix);
   if (!List)
     return readFailure(List.failure());
   status_view View;
@@ -149,7 +148,7 @@
 }
 
 result<rollouts_view> readRollouts(sync_store &Store) {
-  auto List = Store.list(platform::RolloutPrefix);
+  auto List = Store.list(store::RolloutPrefix);
   if (!List)
     return readFailure(List.failure());
   rollouts_view View;
@@ -157,10 +156,10 @@
   return View;
 }
 
-result<platform::zone_state> readZones(sync_store &Store) {
-  auto Object = Store.get(platform::ZonesKey);
-  if (!Object && hasCode(Object.failure(), platform_errc::NotFound))
-    return platform::zone_state{};
+result<store::zone_state> readZones(sync_store &Store) {
+  auto Object = Store.get(store::ZonesKey);
+  if (!Object && hasCode(Object.failure(), store_errc::NotFound))
+    return store::zone_state{};
   if (!Object)
     return readFailure(Object.failure());
   auto State = wire::decodeZoneState(Object->Value);
--- a/libs/operator/src/moves.cpp
+++ b/libs/operator/src/moves.cpp
@@ -2,9 +2,9 @@
 
 namespace gentianlug::operator_cli {
 
-using platform::zone_state;
 using rollout::rollout_phase;
 using rollout::rollout_state;
+using store::zone_state;
 
 static rollout_decision stays(move_kind Kind, const rollout_state &Current,
                               std::string Reason) {
@@ -87,7 +87,7 @@
   if (!IsOut)
     return {move_kind::Already, State,
             "zone " + Zone.str() + " is in service already"};
-  const platform::zone_out &Entry = State.Out.at(Zone);
+  const store::zone_out &Entry = State.Out.at(Zone);
   return {move_kind::Already, State,
           "zone " + Zone.str() + " is out already, by " + Entry.Author + ": " +
               Entry.Reason};
@@ -115,7 +115,7 @@
     Next.Out.erase(Zone);
   Next.Moves.push_back(
       {Zone, TakeOut, Request.Author, Request.Reason, Request.Now});
-  if (Next.Moves.size() > platform::KeptZoneMoves)
+  if (Next.Moves.size() > store::KeptZoneMoves)
     Next.Moves.erase(Next.Moves.begin());
   Next.WriteId = Request.WriteId;
   return Decision;
--- a/libs/operator/src/progress.cpp
+++ b/libs/operator/src/progress.cpp
@@ -16,15 +16,15 @@
   return Sum;
 }
 
-version_progress progressOf(const std::vector<platform::zone_status> &Zones,
+version_progress progressOf(const std::vector<store::zone_status> &Zones,
                             config_version Version,
                             const std::set<zone_name> &Known,
-                            const platform::zone_state &Out) {
+                            const store::zone_state &Out) {
   version_progress Progress;
   std::set<zone_name> Missing = Known;
   for (const auto &[Zone, Entry] : Out.Out)
     Missing.erase(Zone);
-  for (const platform::zone_status &Status : Zones) {
+  for (const store::zone_status &Status : Zones) {
     zone_progress Zone{Status.Zone, 0, 0, Out.Out.count(Status.Zone) > 0};
     Missing.erase(Status.Zone);
     for (const auto &[Held, Nodes] : Status.NodesByVersion) {
@@ -32,7 +32,7 @@
       Zone.Current += Held >= Version ? Nodes : 0;
     }
     Progress.Zones.push_back(std::move(Zone));
-    for (const platform::config_refusal &Refusal : Status.Refusals)
+    for (const store::config_refusal &Refusal : Status.Refusals)
       if (Refusal.Version == Version)
         Progress.Refusals.push_back(Refusal);
   }
--- a/libs/operator/src/rollout_commands.cpp
+++ b/libs/operator/src/rollout_commands.cpp
@@ -3,7 +3,7 @@
 #include "facts.h"
 #include "gentianlug/operator/mesh_reader.h"
 #include "gentianlug/operator/moves.h"
-#include "gentianlug/platform/keys.h"
+#include "gentianlug/store/keys.h"
 #include "gentianlug/wire/rollout_values.h"
 #include "text.h"
 
@@ -13,7 +13,7 @@
 
 static result<command_report> reportState(command_context &Context,
                                           const service_name &Service) {
-  auto Observed = detail::observe(Context.Store, platform::rolloutKey(Service),
+  auto Observed = detail::observe(Context.Store, store::rolloutKey(Service),
                                   wire::decodeRolloutState);
   if (!Observed)
     return Observed.failure();
@@ -35,7 +35,7 @@
   move_request Request{Context.Options.Author, Context.Options.Reason,
                        drawHexId(Context.Gen), Context.Driver.wallNow()};
   auto Decision = detail::updateConditionally<rollout_state>(
-      Context.Store, platform::rolloutKey(Service), wire::decodeRolloutState,
+      Context.Store, store::rolloutKey(Service), wire::decodeRolloutState,
       [&](const rollout_state *Current) {
         return decideRolloutMove(Current, Move, Request);
       },
--- a/libs/operator/src/status_commands.cpp
+++ b/libs/operator/src/status_commands.cpp
@@ -12,13 +12,13 @@
 
 /// All that `status` tells about.
 struct mesh_view {
-  platform::config_head Head;
+  store::config_head Head;
   /// The version in force; empty when it cannot be read.
   std::vector<config::site_configuration> Sites;
   /// Why the version cannot be read.
   std::string Fault;
   status_view Status;
-  platform::zone_state Zones;
+  store::zone_state Zones;
   rollouts_view Rollouts;
 };
 
@@ -75,7 +75,7 @@
   Report.Facts["zones"] = factsOfAll(Progress.Zones);
   Report.Facts["everywhere"] = Progress.everywhere();
   Report.Facts["refusals"] = factsOfAll(Progress.Refusals);
-  auto Newest = platform::findVersion(View.Head, View.Head.Version);
+  auto Newest = store::findVersion(View.Head, View.Head.Version);
   if (!Newest) {
     Report.add("No version was accepted yet.");
     return;
@@ -94,14 +94,14 @@
     Report.add(describeSilent(Zone));
     Report.Facts["silent_zones"].push_back(Zone.str());
   }
-  for (const platform::config_refusal &Refusal : Progress.Refusals)
+  for (const store::config_refusal &Refusal : Progress.Refusals)
     Report.add(describe(Refusal));
   if (!View.Fault.empty())
     Report.add("The version cannot be read from the platform: " + View.Fault +
                ".");
 }
 
-static void reportZones(const platform::zone_state &Zones,
+static void reportZones(const store::zone_state &Zones,
                         command_report &Report) {
   Report.Facts["zones_out"] = nlohmann::json::array();
   for (const auto &[Zone, Out] : Zones.Out) {
@@ -173,11 +173,11 @@
   auto Head = readHead(Context.Store);
   if (!Head)
     return Head.failure();
-  std::vector<platform::accepted_version> Versions =
-      platform::knownVersions(Head->Head);
+  std::vector<store::accepted_version> Versions =
+      store::knownVersions(Head->Head);
   std::reverse(Versions.begin(), Versions.end());
   command_report Report;
-  for (const platform::accepted_version &Version : Versions)
+  for (const store::accepted_version &Version : Versions)
     Report.add(describe(Version));
   if (Versions.empty())
     Report.add("No version was accepted yet.");
@@ -188,10 +188,9 @@
 static std::vector<event_line> collectEvents(const mesh_view &View,
                                              wall_time Now) {
   std::vector<event_line> Lines;
-  for (const platform::accepted_version &Version :
-       platform::knownVersions(View.Head))
+  for (const store::accepted_version &Version : store::knownVersions(View.Head))
     Lines.push_back({Version.AcceptedAt, describe(Version), factsOf(Version)});
-  for (const platform::zone_move &Move : View.Zones.Moves)
+  for (const store::zone_move &Move : View.Zones.Moves)
     Lines.push_back({Move.At, describe(Move), factsOf(Move)});
   for (const rollout::rollout_state &State : View.Rollouts.Rollouts)
     Lines.push_back({std::min(State.FinishBy, Now), describe(State, Now),
--- a/libs/operator/src/sync_store.cpp
+++ b/libs/operator/src/sync_store.cpp
@@ -3,11 +3,11 @@
 #include "gentianlug/core/error_table.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/operator/operator_errc.h"
-#include "gentianlug/platform/retry_schedule.h"
+#include "gentianlug/store/retry_schedule.h"
 
 namespace gentianlug::operator_cli {
 
-using platform::platform_errc;
+using store::store_errc;
 
 static constexpr error_text OperatorTexts[] = {
     {int(operator_errc::BadArguments), "wrong arguments"},
@@ -43,13 +43,13 @@
 
 template <class T, class Operation>
 result<T> sync_store::repeat(const Operation &Start, bool RetryNoAnswer) {
-  platform::retry_schedule Retries;
+  store::retry_schedule Retries;
   for (;;) {
     result<T> Result = once<T>(Start);
     if (Result)
       return Result;
-    bool Silent = hasCode(Result.failure(), platform_errc::NoAnswer);
-    bool Limited = hasCode(Result.failure(), platform_errc::RateLimited);
+    bool Silent = hasCode(Result.failure(), store_errc::NoAnswer);
+    bool Limited = hasCode(Result.failure(), store_errc::RateLimited);
     if (!Limited && !(Silent && RetryNoAnswer))
       return Result;
     auto Delay = Retries.next(Gen);
@@ -59,20 +59,20 @@
   }
 }
 
-result<platform::object> sync_store::get(const std::string &Key) {
-  return repeat<platform::object>(
+result<store::object> sync_store::get(const std::string &Key) {
+  return repeat<store::object>(
       [&](auto Done) { Store.get(Key, std::move(Done)); }, true);
 }
 
-result<platform::object_list> sync_store::list(const std::string &Prefix) {
-  return repeat<platform::object_list>(
+result<store::object_list> sync_store::list(const std::string &Prefix) {
+  return repeat<store::object_list>(
       [&](auto Done) { Store.list(Prefix, std::move(Done)); }, true);
 }
 
-result<platform::change_batch>
-sync_store::watch(const std::string &Prefix, object_revision After,
-                  std::chrono::milliseconds Wait) {
-  return repeat<platform::change_batch>(
+result<store::change_batch> sync_store::watch(const std::string &Prefix,
+                                              object_revision After,
+                                              std::chrono::milliseconds Wait) {
+  return repeat<store::change_batch>(
       [&](auto Done) { Store.watch(Prefix, After, Wait, std::move(Done)); },
       true);
 }
--- a/libs/operator/src/text.cpp
+++ b/libs/operator/src/text.cpp
@@ -36,7 +36,7 @@
   return "unknown";
 }
 
-std::string describe(const platform::accepted_version &Version) {
+std::string describe(const store::accepted_version &Version) {
   return "Version " + std::to_string(Version.Version) + " was accepted at " +
          timeText(Version.AcceptedAt) + " by " + Version.Author + ": " +
          Version.Reason + ".";
@@ -106,17 +106,17 @@
   return "Zone " + Zone.str() + ": no node has reported.";
 }
 
-std::string describe(const platform::config_refusal &Refusal) {
+std::string describe(const store::config_refusal &Refusal) {
   return "Node " + Refusal.Node.str() + " refused version " +
          std::to_string(Refusal.Version) + ": " + Refusal.Reason + ".";
 }
 
-std::string describe(const zone_name &Zone, const platform::zone_out &Out) {
+std::string describe(const zone_name &Zone, const store::zone_out &Out) {
   return "Zone " + Zone.str() + " is out since " + timeText(Out.Since) +
          ", by " + Out.Author + ": " + Out.Reason + ".";
 }
 
-std::string describe(const platform::zone_move &Move) {
+std::string describe(const store::zone_move &Move) {
   return "Zone " + Move.Zone.str() +
          (Move.IsOut ? " was taken out at " : " was brought back at ") +
          timeText(Move.At) + " by " + Move.Author + ": " + Move.Reason + ".";
--- a/libs/operator/src/text.h
+++ b/libs/operator/src/text.h
@@ -4,8 +4,8 @@
 #include "gentianlug/config/difference.h"
 #include "gentianlug/config/explain.h"
 #include "gentianlug/operator/progress.h"
-#include "gentianlug/platform/config_head.h"
-#include "gentianlug/platform/zone_state.h"
+#include "gentianlug/store/config_head.h"
+#include "gentianlug/store/zone_state.h"
 
 #include <string>
 
@@ -18,14 +18,14 @@
 
 std::string phaseText(rollout::rollout_phase Phase);
 
-std::string describe(const platform::accepted_version &Version);
+std::string describe(const store::accepted_version &Version);
 std::string describe(const config::config_change &Change);
 std::string describe(const config::value_origin &Origin);
 std::string describe(const zone_progress &Progress, config_version Version);
 std::string describeSilent(const zone_name &Zone);
-std::string describe(const platform::config_refusal &Refusal);
-std::string describe(const zone_name &Zone, const platform::zone_out &Out);
-std::string describe(const platform::zone_move &Move);
+std::string describe(const store::config_refusal &Refusal);
+std::string describe(const zone_name &Zone, const store::zone_out &Out);
+std::string describe(const store::zone_move &Move);
 std::string describe(const rollout::rollout_state &State, wall_time Now);
 
 /// Returns the sentence for an error of a command.
--- a/libs/operator/src/wait_command.cpp
+++ b/libs/operator/src/wait_command.cpp
@@ -2,7 +2,7 @@
 #include "detail/conditional_update.h"
 #include "facts.h"
 #include "gentianlug/operator/mesh_reader.h"
-#include "gentianlug/platform/keys.h"
+#include "gentianlug/store/keys.h"
 #include "gentianlug/wire/rollout_values.h"
 #include "text.h"
 
@@ -120,7 +120,7 @@
                std::to_string(Progress.nodes()) + " nodes.");
   } else {
     Report.Code = Refused;
-    for (const platform::config_refusal &Refusal : Progress.Refusals)
+    for (const store::config_refusal &Refusal : Progress.Refusals)
       Report.add(describe(Refusal));
   }
   Look.Finished = std::move(Report);
@@ -129,7 +129,7 @@
 
 static result<wait_look> lookAtRollout(command_context &Context,
                                        const service_name &Service) {
-  auto Observed = detail::observe(Context.Store, platform::rolloutKey(Service),
+  auto Observed = detail::observe(Context.Store, store::rolloutKey(Service),
                                   wire::decodeRolloutState);
   if (!Observed)
     return Observed.failure();
@@ -159,30 +159,28 @@
 waitForVersion(command_context &Context,
                std::optional<config_version> Version) {
   std::optional<std::set<zone_name>> Known;
-  return waiter(Context, platform::StatusPrefix)
-      .run([&]() -> result<wait_look> {
-        if (!Known) {
-          auto Head = readHead(Context.Store);
-          if (!Head)
-            return Head.failure();
-          if (Head->Head.Version == 0)
-            return makeError(operator_errc::Refused,
-                             "no version was accepted yet");
-          auto Names = readZoneNames(Context.Store, Head->Head);
-          if (!Names && isOutage(Names.failure()))
-            return Names.failure();
-          Known = Names ? std::move(*Names) : std::set<zone_name>{};
-          Version = Version.value_or(Head->Head.Version);
-        }
-        return lookAtVersion(Context, *Version, *Known);
-      });
+  return waiter(Context, store::StatusPrefix).run([&]() -> result<wait_look> {
+    if (!Known) {
+      auto Head = readHead(Context.Store);
+      if (!Head)
+        return Head.failure();
+      if (Head->Head.Version == 0)
+        return makeError(operator_errc::Refused, "no version was accepted yet");
+      auto Names = readZoneNames(Context.Store, Head->Head);
+      if (!Names && isOutage(Names.failure()))
+        return Names.failure();
+      Known = Names ? std::move(*Names) : std::set<zone_name>{};
+      Version = Version.value_or(Head->Head.Version);
+    }
+    return lookAtVersion(Context, *Version, *Known);
+  });
 }
 
 result<command_report> runWait(command_context &Context) {
   const std::vector<std::string> &Words = Context.Options.Words;
   if (Words.size() == 3 && Words[1] == "rollout") {
     service_name Service(Words[2]);
-    return waiter(Context, platform::rolloutKey(Service)).run([&] {
+    return waiter(Context, store::rolloutKey(Service)).run([&] {
       return lookAtRollout(Context, Service);
     });
   }
--- a/libs/operator/src/zone_commands.cpp
+++ b/libs/operator/src/zone_commands.cpp
@@ -3,13 +3,13 @@
 #include "facts.h"
 #include "gentianlug/operator/mesh_reader.h"
 #include "gentianlug/operator/moves.h"
-#include "gentianlug/platform/keys.h"
+#include "gentianlug/store/keys.h"
 #include "gentianlug/wire/platform_values.h"
 #include "text.h"
 
 namespace gentianlug::operator_cli {
 
-using platform::zone_state;
+using store::zone_state;
 
 static void addFacts(const zone_state &State, command_report &Report) {
   Report.Facts["zones_out"] = nlohmann::json::array();
@@ -57,7 +57,7 @@
   move_request Request{Context.Options.Author, Context.Options.Reason,
                        drawHexId(Context.Gen), Context.Driver.wallNow()};
   auto Decision = detail::updateConditionally<zone_state>(
-      Context.Store, platform::ZonesKey, wire::decodeZoneState,
+      Context.Store, store::ZonesKey, wire::decodeZoneState,
       [&](const zone_state *Current) {
         return decideZoneMove(Current, *Known, Zone, TakeOut, Request);
       },
--- a/libs/operator/tests/apply_test.cpp
+++ b/libs/operator/tests/apply_test.cpp
@@ -1,6 +1,6 @@
 #include "fake_store.h"
 #include "gentianlug/operator/mesh_reader.h"
-#include "gentianlug/platform/keys.h"
+#include "gentianlug/store/keys.h"
 
 #include <cstdlib>
 #include <fstream>
@@ -89,7 +89,7 @@
   CHECK_EQUAL(Success, Report.Code);
   auto Head = readHead(Bench.Store)->Head;
   CHECK_EQUAL(3U, Head.Version);
-  CHECK(platform::findVersion(Head, 1)->ManifestHash == Head.ManifestHash);
+  CHECK(store::findVersion(Head, 1)->ManifestHash == Head.ManifestHash);
   CHECK(Bench.says(Bench.apply("beaudoin"), "version 3, which is in force"));
   CHECK_EQUAL(Refused, Bench.run({"apply", "--back-to", "9"}).Code);
 }
@@ -109,7 +109,7 @@
 // Guards against a malformed head that nobody can replace, and against one
 // that is replaced by a lower version.
 TEST(apply, AMalformedHeadIsReplacedOnlyAboveANamedVersion) {
-  Bench.Objects.set(platform::ConfigHeadKey, "{");
+  Bench.Objects.set(store::ConfigHeadKey, "{");
   CHECK_EQUAL(Refused, Bench.apply("beaudoin").Code);
   auto Report = Bench.run(
       command_bench::withFiles("beaudoin", {"apply", "--after-version", "7"}));
--- a/libs/operator/tests/fake_store.h
+++ b/libs/operator/tests/fake_store.h
@@ -10,8 +10,8 @@
 
 namespace gentianlug::operator_cli::test {
 
-using platform::object_change;
-using platform::platform_errc;
+using store::object_change;
+using store::store_errc;
 
 /// A driver whose delays move a set clock.
 class fake_driver final : public operation_driver {
@@ -29,16 +29,16 @@
 enum class fault { None, Down, RateLimited, LostAnswer };
 
 /// Objects in memory with faults that a test orders.
-class fake_store final : public platform::object_store {
+class fake_store final : public store::object_store {
 public:
   explicit fake_store(fake_driver &Driver) : Driver(Driver) {}
 
-  void get(const std::string &Key, callback<platform::object> Done) override {
+  void get(const std::string &Key, callback<store::object> Done) override {
     if (fails(Done))
       return;
     auto Entry = Objects.find(Key);
     if (Entry == Objects.end())
-      return Done(makeError(platform_errc::NotFound, Key));
+      return Done(makeError(store_errc::NotFound, Key));
     Done(Entry->second);
   }
 
@@ -53,10 +53,10 @@
       return;
     ++Puts;
     if (Expected && *Expected != revisionOf(Key))
-      return Done(makeError(platform_errc::Conflict, Key));
+      return Done(makeError(store_errc::Conflict, Key));
     Objects[Key] = {Key, Value, ++Revision};
     if (Fault == fault::LostAnswer)
-      return Done(makeError(platform_errc::NoAnswer, Key));
+      return Done(makeError(store_errc::NoAnswer, Key));
     Done(Revision);
   }
 
@@ -67,16 +67,16 @@
     if (fails(Done))
       return;
     if (revisionOf(Key) != Expected)
-      return Done(makeError(platform_errc::Conflict, Key));
+      return Done(makeError(store_errc::Conflict, Key));
     Objects.erase(Key);
     Done(++Revision);
   }
 
   void list(const std::string &Prefix,
-            callback<platform::object_list> Done) override {
+            callback<store::object_list> Done) override {
     if (fails(Done))
       return;
-    platform::object_list List;
+    store::object_list List;
     for (const auto &[Key, Object] : Objects)
       if (Key.starts_with(Prefix))
         List.Objects.push_back(Object);
@@ -86,13 +86,13 @@
 
   void watch(const std::string &, object_revision,
              std::chrono::milliseconds Wait,
-             callback<platform::change_batch> Done) override {
+             callback<store::change_batch> Done) override {
     if (fails(Done))
       return;
     Driver.pause(Wait);
     if (auto Hook = std::exchange(OnNextWatch, nullptr))
       Hook();
-    Done(platform::change_batch{{}, Revision});
+    Done(store::change_batch{{}, Revision});
   }
 
   /// Writes a value as another operator or a node would.
@@ -105,7 +105,7 @@
     return Entry == Objects.end() ? 0 : Entry->second.Revision;
   }
 
-  std::map<std::string, platform::object> Objects;
+  std::map<std::string, store::object> Objects;
   /// Faults of the next calls, then `Always` holds.
   std::deque<fault> Faults;
   fault Always = fault::None;
@@ -126,8 +126,8 @@
   template <class Done> static bool failsWith(fault Fault, const Done &Then) {
     if (Fault != fault::Down && Fault != fault::RateLimited)
       return false;
-    Then(makeError(Fault == fault::Down ? platform_errc::NoAnswer
-                                        : platform_errc::RateLimited,
+    Then(makeError(Fault == fault::Down ? store_errc::NoAnswer
+                                        : store_errc::RateLimited,
                    "fault"));
     return true;
   }
--- a/libs/operator/tests/move_commands_test.cpp
+++ b/libs/operator/tests/move_commands_test.cpp
@@ -1,5 +1,5 @@
 #include "fake_store.h"
-#include "gentianlug/platform/keys.h"
+#include "gentianlug/store/keys.h"
 #include "gentianlug/wire/platform_values.h"
 #include "gentianlug/wire/rollout_values.h"
 
@@ -9,7 +9,7 @@
 using rollout::rollout_phase;
 using rollout::rollout_state;
 
-static const std::string Key = platform::rolloutKey(service_name("commandes"));
+static const std::string Key = store::rolloutKey(service_name("commandes"));
 
 TEST_GROUP(rollout_command) {
   command_bench Bench;
@@ -161,6 +161,6 @@
     move("in", "qc-east-1");
   }
   auto State =
-      wire::decodeZoneState(Bench.Objects.Objects[platform::ZonesKey].Value);
-  CHECK_EQUAL(platform::KeptZoneMoves, State->Moves.size());
+      wire::decodeZoneState(Bench.Objects.Objects[store::ZonesKey].Value);
+  CHECK_EQUAL(store::KeptZoneMoves, State->Moves.size());
 }
--- a/libs/operator/tests/wait_gc_status_test.cpp
+++ b/libs/operator/tests/wait_gc_status_test.cpp
@@ -1,6 +1,6 @@
 #include "fake_store.h"
 #include "gentianlug/operator/accept.h"
-#include "gentianlug/platform/keys.h"
+#include "gentianlug/store/keys.h"
 #include "gentianlug/wire/platform_values.h"
 #include "gentianlug/wire/rollout_values.h"
 
@@ -11,13 +11,13 @@
 /// Writes what a zone's relay reports.
 static void setStatus(command_bench &Bench, const std::string &Zone,
                       std::map<config_version, std::uint32_t> Nodes,
-                      std::vector<platform::config_refusal> Refusals = {}) {
-  platform::zone_status Status;
+                      std::vector<store::config_refusal> Refusals = {}) {
+  store::zone_status Status;
   Status.Zone = zone_name(Zone);
   Status.Site = site_name("east");
   Status.NodesByVersion = std::move(Nodes);
   Status.Refusals = std::move(Refusals);
-  Bench.Objects.set(platform::statusKey(Status.Zone), wire::encode(Status));
+  Bench.Objects.set(store::statusKey(Status.Zone), wire::encode(Status));
 }
 
 static void setRollout(command_bench &Bench, rollout::rollout_phase Phase,
@@ -29,7 +29,7 @@
   State.Phase = Phase;
   State.Reason = "errors on route r";
   State.FinishBy = Bench.Driver.wallNow() + TimeLeft;
-  Bench.Objects.set(platform::rolloutKey(State.Service), wire::encode(State));
+  Bench.Objects.set(store::rolloutKey(State.Service), wire::encode(State));
 }
 
 TEST_GROUP(wait_command) { command_bench Bench; };
@@ -120,7 +120,7 @@
 // Guards against removing what one of the last ten versions needs, and against
 // objects that stay for ever.
 TEST(gc_command, ObjectsOfNoKeptVersionGoAfterAnHour) {
-  Bench.Objects.set(platform::contentKey("00aa"), "left over");
+  Bench.Objects.set(store::contentKey("00aa"), "left over");
   Bench.apply("beaudoin");
   Bench.apply("strunohost");
   CHECK_EQUAL(0U, removed());
@@ -134,11 +134,11 @@
 // back to it has just found it in place.
 TEST(gc_command, ObjectsInUseAgainAreKept) {
   Bench.apply("beaudoin");
-  std::vector<platform::object> Parts;
+  std::vector<store::object> Parts;
   for (const auto &[Key, Object] : Bench.Objects.Objects)
-    if (Key.starts_with(platform::ContentPrefix))
+    if (Key.starts_with(store::ContentPrefix))
       Parts.push_back(Object);
-  Bench.Objects.Objects.erase(platform::ConfigHeadKey);
+  Bench.Objects.Objects.erase(store::ConfigHeadKey);
   removed();
   Bench.Driver.Clock.advance(std::chrono::minutes(61));
   // The collector has decided already when the operator applies.
@@ -148,7 +148,7 @@
   };
   CHECK_EQUAL(0U, removed());
   CHECK(Applied);
-  for (const platform::object &Part : Parts)
+  for (const store::object &Part : Parts)
     CHECK(Bench.Objects.revisionOf(Part.Key) != 0);
 }
 
--- a/libs/platform/include/gentianlug/platform/acceptance.h
+++ b/libs/store/include/gentianlug/store/acceptance.h
@@ -1,12 +1,12 @@
-#ifndef GENTIANLUG_PLATFORM_ACCEPTANCE_H
-#define GENTIANLUG_PLATFORM_ACCEPTANCE_H
+#ifndef GENTIANLUG_STORE_ACCEPTANCE_H
+#define GENTIANLUG_STORE_ACCEPTANCE_H
 
-#include "gentianlug/platform/config_head.h"
+#include "gentianlug/store/config_head.h"
 
 #include <optional>
 #include <vector>
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 /// Accepted versions that the head keeps, the newest included. Going back and
 /// recognising a write by its id are possible within these. Ten entries of
@@ -68,6 +68,6 @@
 write_verdict judgeWrite(const config_head &Attempt, object_revision Expected,
                          const observed_head &Observed);
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
 
-#endif // GENTIANLUG_PLATFORM_ACCEPTANCE_H
+#endif // GENTIANLUG_STORE_ACCEPTANCE_H
--- a/libs/platform/include/gentianlug/platform/config_head.h
+++ b/libs/store/include/gentianlug/store/config_head.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANLUG_PLATFORM_CONFIG_HEAD_H
-#define GENTIANLUG_PLATFORM_CONFIG_HEAD_H
+#ifndef GENTIANLUG_STORE_CONFIG_HEAD_H
+#define GENTIANLUG_STORE_CONFIG_HEAD_H
 
 #include "gentianlug/config/parts.h"
 #include "gentianlug/core/clock.h"
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 /// One accepted version: what it holds, and who accepted it.
 struct accepted_version {
@@ -48,6 +48,6 @@
   std::map<site_name, site_manifest> Sites;
 };
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
 
-#endif // GENTIANLUG_PLATFORM_CONFIG_HEAD_H
+#endif // GENTIANLUG_STORE_CONFIG_HEAD_H
--- a/libs/platform/include/gentianlug/platform/garbage.h
+++ b/libs/store/include/gentianlug/store/garbage.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANLUG_PLATFORM_GARBAGE_H
-#define GENTIANLUG_PLATFORM_GARBAGE_H
+#ifndef GENTIANLUG_STORE_GARBAGE_H
+#define GENTIANLUG_STORE_GARBAGE_H
 
 #include "gentianlug/core/clock.h"
 #include "gentianlug/core/ids.h"
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 /// Time that an object must have been unreferenced before it is removed, so
 /// that a slow reader of an older version can finish.
@@ -60,6 +60,6 @@
                                const std::set<std::string> &Referenced,
                                const garbage_marks &Marks, wall_time Now);
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
 
-#endif // GENTIANLUG_PLATFORM_GARBAGE_H
+#endif // GENTIANLUG_STORE_GARBAGE_H
--- a/libs/platform/include/gentianlug/platform/keys.h
+++ b/libs/store/include/gentianlug/store/keys.h
@@ -1,12 +1,12 @@
-#ifndef GENTIANLUG_PLATFORM_KEYS_H
-#define GENTIANLUG_PLATFORM_KEYS_H
+#ifndef GENTIANLUG_STORE_KEYS_H
+#define GENTIANLUG_STORE_KEYS_H
 
 #include "gentianlug/core/ids.h"
 
 #include <cstdint>
 #include <string>
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 /// Prefix that relays watch.
 inline constexpr const char *LivePrefix = "live/";
@@ -38,6 +38,6 @@
   return StatusPrefix + Zone.str();
 }
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
 
-#endif // GENTIANLUG_PLATFORM_KEYS_H
+#endif // GENTIANLUG_STORE_KEYS_H
--- a/libs/platform/include/gentianlug/platform/lease.h
+++ b/libs/store/include/gentianlug/store/lease.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANLUG_PLATFORM_LEASE_H
-#define GENTIANLUG_PLATFORM_LEASE_H
+#ifndef GENTIANLUG_STORE_LEASE_H
+#define GENTIANLUG_STORE_LEASE_H
 
 #include "gentianlug/core/address.h"
 #include "gentianlug/core/clock.h"
@@ -11,7 +11,7 @@
 #include <optional>
 #include <string>
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 /// Value of `lease/...`.
 struct lease_value {
@@ -123,6 +123,6 @@
   std::string LastWriteId;
 };
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
 
-#endif // GENTIANLUG_PLATFORM_LEASE_H
+#endif // GENTIANLUG_STORE_LEASE_H
--- a/libs/platform/include/gentianlug/platform/object_store.h
+++ b/libs/store/include/gentianlug/store/object_store.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANLUG_PLATFORM_OBJECT_STORE_H
-#define GENTIANLUG_PLATFORM_OBJECT_STORE_H
+#ifndef GENTIANLUG_STORE_OBJECT_STORE_H
+#define GENTIANLUG_STORE_OBJECT_STORE_H
 
 #include "gentianlug/core/ids.h"
 #include "gentianlug/core/result.h"
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 /// Largest value of one object, in bytes.
 inline constexpr std::size_t MaxValueBytes = 1 << 20;
@@ -45,7 +45,7 @@
 /// Access to the platform's versioned objects.
 ///
 /// Operations finish asynchronously on the owner's event loop; a callback runs
-/// exactly once. `platform_errc::NoAnswer` after a write leaves its outcome
+/// exactly once. `store_errc::NoAnswer` after a write leaves its outcome
 /// open: read the object and compare its write id.
 class object_store {
 public:
@@ -82,6 +82,6 @@
                      callback<change_batch> Done) = 0;
 };
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
 
-#endif // GENTIANLUG_PLATFORM_OBJECT_STORE_H
+#endif // GENTIANLUG_STORE_OBJECT_STORE_H
--- a/libs/platform/include/gentianlug/platform/retry_schedule.h
+++ b/libs/store/include/gentianlug/store/retry_schedule.h
@@ -1,12 +1,12 @@
-#ifndef GENTIANLUG_PLATFORM_RETRY_SCHEDULE_H
-#define GENTIANLUG_PLATFORM_RETRY_SCHEDULE_H
+#ifndef GENTIANLUG_STORE_RETRY_SCHEDULE_H
+#define GENTIANLUG_STORE_RETRY_SCHEDULE_H
 
 #include "gentianlug/core/random.h"
 
 #include <chrono>
 #include <optional>
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 /// Bounded retries of one call, with exponential delays and jitter.
 ///
@@ -30,6 +30,6 @@
   unsigned Retries = 0;
 };
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
 
-#endif // GENTIANLUG_PLATFORM_RETRY_SCHEDULE_H
+#endif // GENTIANLUG_STORE_RETRY_SCHEDULE_H
--- a/libs/platform/include/gentianlug/platform/platform_errc.h
+++ b/libs/store/include/gentianlug/store/store_errc.h
@@ -1,12 +1,12 @@
-#ifndef GENTIANLUG_PLATFORM_PLATFORM_ERRC_H
-#define GENTIANLUG_PLATFORM_PLATFORM_ERRC_H
+#ifndef GENTIANLUG_STORE_PLATFORM_ERRC_H
+#define GENTIANLUG_STORE_PLATFORM_ERRC_H
 
 #include <system_error>
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 /// Errors of the object store.
-enum class platform_errc {
+enum class store_errc {
   /// No answer; a write may or may not have taken effect.
   NoAnswer = 401,
   NotFound = 402,
@@ -22,12 +22,12 @@
   MalformedValue = 409,
 };
 
-std::error_code make_error_code(platform_errc Code);
+std::error_code make_error_code(store_errc Code);
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
 
 template <>
-struct std::is_error_code_enum<gentianlug::platform::platform_errc>
-    : std::true_type {};
+struct std::is_error_code_enum<gentianlug::store::store_errc> : std::true_type {
+};
 
-#endif // GENTIANLUG_PLATFORM_PLATFORM_ERRC_H
+#endif // GENTIANLUG_STORE_PLATFORM_ERRC_H
--- a/libs/platform/include/gentianlug/platform/zone_state.h
+++ b/libs/store/include/gentianlug/store/zone_state.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANLUG_PLATFORM_ZONE_STATE_H
-#define GENTIANLUG_PLATFORM_ZONE_STATE_H
+#ifndef GENTIANLUG_STORE_ZONE_STATE_H
+#define GENTIANLUG_STORE_ZONE_STATE_H
 
 #include "gentianlug/core/clock.h"
 #include "gentianlug/core/ids.h"
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 /// Why and by whom a zone was taken out.
 struct zone_out {
@@ -41,6 +41,6 @@
   std::vector<zone_move> Moves = {};
 };
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
 
-#endif // GENTIANLUG_PLATFORM_ZONE_STATE_H
+#endif // GENTIANLUG_STORE_ZONE_STATE_H
--- a/libs/platform/include/gentianlug/platform/zone_status.h
+++ b/libs/store/include/gentianlug/store/zone_status.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANLUG_PLATFORM_ZONE_STATUS_H
-#define GENTIANLUG_PLATFORM_ZONE_STATUS_H
+#ifndef GENTIANLUG_STORE_ZONE_STATUS_H
+#define GENTIANLUG_STORE_ZONE_STATUS_H
 
 #include "gentianlug/core/clock.h"
 #include "gentianlug/core/ids.h"
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 /// Refusals that one zone status lists; further ones are counted only.
 inline constexpr std::size_t MaxListedRefusals = 10;
@@ -31,6 +31,6 @@
   wall_time UpdatedAt;
 };
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
 
-#endif // GENTIANLUG_PLATFORM_ZONE_STATUS_H
+#endif // GENTIANLUG_STORE_ZONE_STATUS_H
--- a/libs/platform/src/acceptance.cpp
+++ b/libs/store/src/acceptance.cpp
@@ -1,6 +1,6 @@
-#include "gentianlug/platform/acceptance.h"
+#include "gentianlug/store/acceptance.h"
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 static accepted_version withoutEarlier(const config_head &Head) {
   return {Head.Version, Head.ManifestHash, Head.Author,
@@ -50,4 +50,4 @@
   return {write_outcome::Unknown, withoutEarlier(Observed.Head)};
 }
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
--- a/libs/platform/src/garbage.cpp
+++ b/libs/store/src/garbage.cpp
@@ -1,6 +1,6 @@
-#include "gentianlug/platform/garbage.h"
+#include "gentianlug/store/garbage.h"
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 collection_plan planCollection(const std::vector<stored_content> &Stored,
                                const std::set<std::string> &Referenced,
@@ -23,4 +23,4 @@
   return Plan;
 }
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
--- a/libs/platform/src/lease.cpp
+++ b/libs/store/src/lease.cpp
@@ -1,6 +1,6 @@
-#include "gentianlug/platform/lease.h"
+#include "gentianlug/store/lease.h"
 
-namespace gentianlug::platform {
+namespace gentianlug::store {
 
 lease_contender::lease_contender(node_id Self, address Control,
                                  lease_times Times)
@@ -107,4 +107,4 @@
   return Current;
 }
 
-} // namespace gentianlug::platform
+} // namespace gentianlug::store
--- a/libs/platform/tests/acceptance_test.cpp
+++ b/libs/store/tests/acceptance_test.cpp
@@ -1,9 +1,9 @@
-#include "gentianlug/platform/acceptance.h"
+#include "gentianlug/store/acceptance.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace gentianlug;
-using namespace gentianlug::platform;
+using namespace gentianlug::store;
 
 static acceptance_proposal proposal(const std::string &Author,
                                     const std::string &WriteId) {
--- a/libs/platform/tests/garbage_test.cpp
+++ b/libs/store/tests/garbage_test.cpp
@@ -1,9 +1,9 @@
-#include "gentianlug/platform/garbage.h"
+#include "gentianlug/store/garbage.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace gentianlug;
-using namespace gentianlug::platform;
+using namespace gentianlug::store;
 using std::chrono::minutes;
 
 TEST_GROUP(garbage) {
--- a/libs/platform/tests/lease_test.cpp
+++ b/libs/store/tests/lease_test.cpp
@@ -1,9 +1,9 @@
-#include "gentianlug/platform/lease.h"
+#include "gentianlug/store/lease.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace gentianlug;
-using namespace gentianlug::platform;
+using namespace gentianlug::store;
 using namespace std::chrono_literals;
 
 TEST_GROUP(lease) {
--- a/libs/wire/include/gentianlug/wire/lease_values.h
+++ b/libs/wire/include/gentianlug/wire/lease_values.h
@@ -2,7 +2,7 @@
 #define GENTIANLUG_WIRE_LEASE_VALUES_H
 
 #include "gentianlug/core/result.h"
-#include "gentianlug/platform/lease.h"
+#include "gentianlug/store/lease.h"
 
 #include <string>
 #include <string_view>
@@ -10,8 +10,8 @@
 namespace gentianlug::wire {
 
 /// Decodes the value of a lease. Errors: `wire_errc::MalformedMessage`.
-result<platform::lease_value> decodeLeaseValue(std::string_view Text);
-std::string encode(const platform::lease_value &Lease);
+result<store::lease_value> decodeLeaseValue(std::string_view Text);
+std::string encode(const store::lease_value &Lease);
 
 } // namespace gentianlug::wire
 
--- a/libs/wire/include/gentianlug/wire/platform_messages.h
+++ b/libs/wire/include/gentianlug/wire/platform_messages.h
@@ -2,7 +2,7 @@
 #define GENTIANLUG_WIRE_PLATFORM_MESSAGES_H
 
 #include "gentianlug/core/result.h"
-#include "gentianlug/platform/object_store.h"
+#include "gentianlug/store/object_store.h"
 
 #include <optional>
 #include <string>
@@ -21,17 +21,17 @@
 result<put_request> decodePutRequest(std::string_view Text);
 std::string encode(const put_request &Request);
 
-result<platform::object> decodeObject(std::string_view Text);
-std::string encode(const platform::object &Object);
+result<store::object> decodeObject(std::string_view Text);
+std::string encode(const store::object &Object);
 
 result<object_revision> decodeRevision(std::string_view Text);
 std::string encodeRevision(object_revision Revision);
 
-result<platform::object_list> decodeObjectList(std::string_view Text);
-std::string encode(const platform::object_list &List);
+result<store::object_list> decodeObjectList(std::string_view Text);
+std::string encode(const store::object_list &List);
 
-result<platform::change_batch> decodeChangeBatch(std::string_view Text);
-std::string encode(const platform::change_batch &Batch);
+result<store::change_batch> decodeChangeBatch(std::string_view Text);
+std::string encode(const store::change_batch &Batch);
 
 } // namespace gentianlug::wire
 
--- a/libs/wire/src/lease_values.cpp
+++ b/libs/wire/src/lease_values.cpp
@@ -4,8 +4,8 @@
 
 namespace gentianlug::wire {
 
-static platform::lease_value readLease(settings::object_reader &Reader) {
-  platform::lease_value Lease;
+static store::lease_value readLease(settings::object_reader &Reader) {
+  store::lease_value Lease;
   Lease.Holder = node_id(Reader.text("holder", ""));
   Lease.Control = Reader.endpoint("control");
   Lease.Epoch = detail::readUnsigned(Reader, "epoch");
@@ -13,11 +13,11 @@
   return Lease;
 }
 
-result<platform::lease_value> decodeLeaseValue(std::string_view Text) {
+result<store::lease_value> decodeLeaseValue(std::string_view Text) {
   return detail::decodeObject(Text, "lease", readLease);
 }
 
-std::string encode(const platform::lease_value &Lease) {
+std::string encode(const store::lease_value &Lease) {
   return nlohmann::json{{"holder", Lease.Holder.str()},
                         {"control", Lease.Control.str()},
                         {"epoch", Lease.Epoch},
--- a/libs/wire/src/platform_messages.cpp
+++ b/libs/wire/src/platform_messages.cpp
@@ -32,25 +32,25 @@
   return Json.dump();
 }
 
-static platform::object readObject(object_reader &Reader) {
-  platform::object Object;
+static store::object readObject(object_reader &Reader) {
+  store::object Object;
   Object.Key = Reader.text("key");
   Object.Value = readValue(Reader, "value");
   Object.Revision = detail::readUnsigned(Reader, "revision");
   return Object;
 }
 
-result<platform::object> decodeObject(std::string_view Text) {
+result<store::object> decodeObject(std::string_view Text) {
   return detail::decodeObject(Text, "object", readObject);
 }
 
-static json toJson(const platform::object &Object) {
+static json toJson(const store::object &Object) {
   return {{"key", Object.Key},
           {"value", Object.Value},
           {"revision", Object.Revision}};
 }
 
-std::string encode(const platform::object &Object) {
+std::string encode(const store::object &Object) {
   return toJson(Object).dump();
 }
 
@@ -66,26 +66,26 @@
   return json{{"revision", Revision}}.dump();
 }
 
-static platform::object_list readObjectList(object_reader &Reader) {
-  platform::object_list List;
+static store::object_list readObjectList(object_reader &Reader) {
+  store::object_list List;
   List.Objects = detail::readList(Reader, "objects", readObject);
   List.Revision = detail::readUnsigned(Reader, "revision");
   return List;
 }
 
-result<platform::object_list> decodeObjectList(std::string_view Text) {
+result<store::object_list> decodeObjectList(std::string_view Text) {
   return detail::decodeObject(Text, "list", readObjectList);
 }
 
-std::string encode(const platform::object_list &List) {
+std::string encode(const store::object_list &List) {
   json Objects = json::array();
-  for (const platform::object &Object : List.Objects)
+  for (const store::object &Object : List.Objects)
     Objects.push_back(toJson(Object));
   return json{{"objects", Objects}, {"revision", List.Revision}}.dump();
 }
 
-static platform::object_change readChange(object_reader &Reader) {
-  platform::object_change Change;
+static store::object_change readChange(object_reader &Reader) {
+  store::object_change Change;
   Change.Key = Reader.text("key");
   Change.Revision = detail::readUnsigned(Reader, "revision");
   if (!Reader.flag("deleted", false))
@@ -93,20 +93,20 @@
   return Change;
 }
 
-static platform::change_batch readBatch(object_reader &Reader) {
-  platform::change_batch Batch;
+static store::change_batch readBatch(object_reader &Reader) {
+  store::change_batch Batch;
   Batch.Changes = detail::readList(Reader, "changes", readChange);
   Batch.Revision = detail::readUnsigned(Reader, "revision");
   return Batch;
 }
 
-result<platform::change_batch> decodeChangeBatch(std::string_view Text) {
+result<store::change_batch> decodeChangeBatch(std::string_view Text) {
   return detail::decodeObject(Text, "watch", readBatch);
 }
 
-std::string encode(const platform::change_batch &Batch) {
+std::string encode(const store::change_batch &Batch) {
   json Changes = json::array();
-  for (const platform::object_change &Change : Batch.Changes) {
+  for (const store::object_change &Change : Batch.Changes) {
     json Json{{"key", Change.Key}, {"revision", Change.Revision}};
     if (Change.Value)
       Json["value"] = *Change.Value;
--- a/libs/wire/src/platform_values.cpp
+++ b/libs/wire/src/platform_values.cpp
@@ -7,8 +7,8 @@
 using nlohmann::json;
 using settings::object_reader;
 
-static platform::accepted_version readVersion(object_reader &Reader) {
-  platform::accepted_version Version;
+static store::accepted_version readVersion(object_reader &Reader) {
+  store::accepted_version Version;
   Version.Version = detail::readUnsigned(Reader, "version");
   Version.ManifestHash = Reader.text("manifest");
   Version.Author = Reader.text("author");
@@ -18,9 +18,9 @@
   return Version;
 }
 
-static platform::config_head readHead(object_reader &Reader) {
-  platform::accepted_version Newest = readVersion(Reader);
-  platform::config_head Head;
+static store::config_head readHead(object_reader &Reader) {
+  store::accepted_version Newest = readVersion(Reader);
+  store::config_head Head;
   Head.Version = Newest.Version;
   Head.ManifestHash = std::move(Newest.ManifestHash);
   Head.Author = std::move(Newest.Author);
@@ -31,11 +31,11 @@
   return Head;
 }
 
-result<platform::config_head> decodeConfigHead(std::string_view Text) {
+result<store::config_head> decodeConfigHead(std::string_view Text) {
   return detail::decodeObject(Text, "live/config", readHead);
 }
 
-static json toJson(const platform::accepted_version &Version) {
+static json toJson(const store::accepted_version &Version) {
   return {{"version", Version.Version},
           {"manifest", Version.ManifestHash},
           {"author", Version.Author},
@@ -44,17 +44,17 @@
           {"write_id", Version.WriteId}};
 }
 
-std::string encode(const platform::config_head &Head) {
-  json Json = toJson(platform::accepted_version{Head.Version, Head.ManifestHash,
-                                                Head.Author, Head.Reason,
-                                                Head.AcceptedAt, Head.WriteId});
-  for (const platform::accepted_version &Version : Head.Earlier)
+std::string encode(const store::config_head &Head) {
+  json Json = toJson(store::accepted_version{Head.Version, Head.ManifestHash,
+                                             Head.Author, Head.Reason,
+                                             Head.AcceptedAt, Head.WriteId});
+  for (const store::accepted_version &Version : Head.Earlier)
     Json["earlier"].push_back(toJson(Version));
   return Json.dump();
 }
 
-static platform::site_manifest readSite(object_reader &Reader) {
-  platform::site_manifest Site;
+static store::site_manifest readSite(object_reader &Reader) {
+  store::site_manifest Site;
   Site.RootHash = Reader.text("root");
   const json *Parts = Reader.object("parts");
   if (!Parts)
@@ -65,8 +65,8 @@
   return Site;
 }
 
-static platform::config_manifest readManifest(object_reader &Reader) {
-  platform::config_manifest Manifest;
+static store::config_manifest readManifest(object_reader &Reader) {
+  store::config_manifest Manifest;
   const json *Sites = Reader.object("sites");
   if (!Sites)
     return Manifest;
@@ -77,27 +77,27 @@
   return Manifest;
 }
 
-result<platform::config_manifest> decodeConfigManifest(std::string_view Text) {
+result<store::config_manifest> decodeConfigManifest(std::string_view Text) {
   return detail::decodeObject(Text, "manifest", readManifest);
 }
 
-std::string encode(const platform::config_manifest &Manifest) {
+std::string encode(const store::config_manifest &Manifest) {
   json Sites = json::object();
   for (const auto &[Name, Site] : Manifest.Sites)
     Sites[Name.str()] = {{"root", Site.RootHash}, {"parts", Site.Parts}};
   return json{{"sites", Sites}}.dump();
 }
 
-static platform::zone_out readZoneOut(object_reader &Reader) {
-  platform::zone_out Out;
+static store::zone_out readZoneOut(object_reader &Reader) {
+  store::zone_out Out;
   Out.Author = Reader.text("author");
   Out.Reason = Reader.text("reason", "none given");
   Out.Since = detail::readWallTime(Reader, "since_ms");
   return Out;
 }
 
-static platform::zone_move readZoneMove(object_reader &Reader) {
-  platform::zone_move Move;
+static store::zone_move readZoneMove(object_reader &Reader) {
+  store::zone_move Move;
   Move.Zone = zone_name(Reader.text("zone"));
   Move.IsOut = Reader.flag("out", false);
   Move.Author = Reader.text("author");
@@ -106,8 +106,8 @@
   return Move;
 }
 
-static platform::zone_state readZoneState(object_reader &Reader) {
-  platform::zone_state State;
+static store::zone_state readZoneState(object_reader &Reader) {
+  store::zone_state State;
   State.WriteId = Reader.text("write_id");
   State.Moves = detail::readList(Reader, "moves", readZoneMove);
   const json *Out = Reader.object("out");
@@ -120,18 +120,18 @@
   return State;
 }
 
-result<platform::zone_state> decodeZoneState(std::string_view Text) {
+result<store::zone_state> decodeZoneState(std::string_view Text) {
   return detail::decodeObject(Text, "live/zones", readZoneState);
 }
 
-std::string encode(const platform::zone_state &State) {
+std::string encode(const store::zone_state &State) {
   json Out = json::object();
   for (const auto &[Zone, Entry] : State.Out)
     Out[Zone.str()] = {{"author", Entry.Author},
                        {"reason", Entry.Reason},
                        {"since_ms", detail::wallTimeCount(Entry.Since)}};
   json Moves = json::array();
-  for (const platform::zone_move &Move : State.Moves)
+  for (const store::zone_move &Move : State.Moves)
     Moves.push_back({{"zone", Move.Zone.str()},
                      {"out", Move.IsOut},
                      {"author", Move.Author},
@@ -141,26 +141,26 @@
       .dump();
 }
 
-static platform::garbage_marks readMarks(object_reader &Reader) {
-  platform::garbage_marks Marks;
+static store::garbage_marks readMarks(object_reader &Reader) {
+  store::garbage_marks Marks;
   const json *Object = Reader.object("marks");
   if (!Object)
     return Marks;
   for (const auto &Item : Object->items()) {
     object_reader Mark(Item.value(), "marks." + Item.key(), Reader.faults());
     auto Revision = detail::readUnsigned(Mark, "revision");
-    Marks.emplace(Item.key(),
-                  platform::garbage_mark{
-                      Revision, detail::readWallTime(Mark, "since_ms")});
+    Marks.emplace(
+        Item.key(),
+        store::garbage_mark{Revision, detail::readWallTime(Mark, "since_ms")});
   }
   return Marks;
 }
 
-result<platform::garbage_marks> decodeGarbageMarks(std::string_view Text) {
+result<store::garbage_marks> decodeGarbageMarks(std::string_view Text) {
   return detail::decodeObject(Text, "gc/marks", readMarks);
 }
 
-std::string encode(const platform::garbage_marks &Marks) {
+std::string encode(const store::garbage_marks &Marks) {
   json Object = json::object();
   for (const auto &[Key, Mark] : Marks)
     Object[Key] = {{"revision", Mark.Revision},
@@ -181,16 +181,16 @@
   return Row;
 }
 
-static platform::config_refusal readRefusal(object_reader &Reader) {
-  platform::config_refusal Refusal;
+static store::config_refusal readRefusal(object_reader &Reader) {
+  store::config_refusal Refusal;
   Refusal.Node = node_id(Reader.text("node"));
   Refusal.Version = detail::readUnsigned(Reader, "version");
   Refusal.Reason = Reader.text("reason", "none given");
   return Refusal;
 }
 
-static platform::zone_status readZoneStatus(object_reader &Reader) {
-  platform::zone_status Status;
+static store::zone_status readZoneStatus(object_reader &Reader) {
+  store::zone_status Status;
   Status.Zone = zone_name(Reader.text("zone"));
   Status.Site = site_name(Reader.text("site"));
   for (const version_count &Row :
@@ -201,16 +201,16 @@
   return Status;
 }
 
-result<platform::zone_status> decodeZoneStatus(std::string_view Text) {
+result<store::zone_status> decodeZoneStatus(std::string_view Text) {
   return detail::decodeObject(Text, "status", readZoneStatus);
 }
 
-std::string encode(const platform::zone_status &Status) {
+std::string encode(const store::zone_status &Status) {
   json Versions = json::array();
   for (const auto &[Version, Nodes] : Status.NodesByVersion)
     Versions.push_back({{"version", Version}, {"nodes", Nodes}});
   json Refusals = json::array();
-  for (const platform::config_refusal &Refusal : Status.Refusals)
+  for (const store::config_refusal &Refusal : Status.Refusals)
     Refusals.push_back({{"node", Refusal.Node.str()},
                         {"version", Refusal.Version},
                         {"reason", Refusal.Reason}});
--- a/libs/wire/tests/platform_values_test.cpp
+++ b/libs/wire/tests/platform_values_test.cpp
@@ -9,7 +9,7 @@
 TEST_GROUP(platform_values){};
 
 TEST(platform_values, ConfigHeadRoundTrip) {
-  platform::config_head Head{7, "abc", "marie", "new slots", wall_time{}, "w1"};
+  store::config_head Head{7, "abc", "marie", "new slots", wall_time{}, "w1"};
   auto Decoded = decodeConfigHead(encode(Head));
   CHECK(bool(Decoded));
   CHECK_EQUAL(7U, Decoded->Version);
@@ -18,7 +18,7 @@
 
 // Guards against a half-written object that is taken for a version.
 TEST(platform_values, TruncatedValuesAreRefused) {
-  platform::config_head Head{7, "abc", "marie", "new slots", wall_time{}, "w1"};
+  store::config_head Head{7, "abc", "marie", "new slots", wall_time{}, "w1"};
   std::string Text = encode(Head);
   for (std::size_t Size = 0; Size < Text.size(); ++Size)
     CHECK_FALSE(bool(decodeConfigHead(Text.substr(0, Size))));
@@ -44,7 +44,7 @@
 
 // Guards against a version that a later operator can no longer go back to.
 TEST(platform_values, HeadKeepsItsEarlierVersions) {
-  platform::config_head Head{7, "abc", "marie", "new slots", wall_time{}, "w1"};
+  store::config_head Head{7, "abc", "marie", "new slots", wall_time{}, "w1"};
   Head.Earlier = {{6, "def", "paul", "x", wall_time{}, "w0"}};
   auto Decoded = decodeConfigHead(encode(Head));
   CHECK(bool(Decoded));
