Compare servers elsewhere with what the service usually takes

A server that nobody had reported on counted as one of 50 ms, so that all of the own zone, at 220 ms, cost over four times as much. A server without an answer yet reported 0 ms and drew every call of its zone. Ruled out: load of the own zone (its utilization was 0 to 0.6). Change: unknown servers count like the fastest known one or like the service usually is, whichever is less. UnknownServersElsewhereDrawNoCalls and ServersWithoutAnswersCountLikeTheFastestKnown failed before; SlowZoneIsLeftForUnknownServers keeps what the old value was good for.

--- a/libs/mesh/include/gentianlug/mesh/server_picker.h
+++ b/libs/mesh/include/gentianlug/mesh/server_picker.h
@@ -90,17 +90,28 @@
     double limit(steady_time Now) const;
     double load(steady_time Now) const;
     double utilization(steady_time Now) const { return load(Now) / limit(Now); }
-    /// \param Assumed service time until the first report.
+    /// \param Assumed service time until the first answer.
     double cost(steady_time Now, std::chrono::milliseconds Assumed) const;
     bool reportIsFresh(steady_time Now) const;
+    /// Returns the reported service time; 0 before the server's first answer.
+    std::chrono::milliseconds reportedTime() const {
+      return Report ? Report->ServiceTime : std::chrono::milliseconds(0);
+    }
   };
 
   std::vector<const endpoint *> candidates(const pick_request &Request,
                                            steady_time Now) const;
+  std::chrono::milliseconds
+  assumedTime(const service_name &Service,
+              const std::vector<const endpoint *> &Known) const;
+  void learnUsualTime(const service_name &Service,
+                      std::chrono::milliseconds Time);
   void eject(endpoint &Endpoint, steady_time Now);
 
   std::unordered_map<node_id, endpoint> Endpoints;
   std::unordered_map<service_name, std::vector<node_id>> Services;
+  /// Slow moving average of the reported service times of known services.
+  std::unordered_map<service_name, double> UsualMillis;
 };
 
 } // namespace gentianlug::mesh
--- a/libs/mesh/src/server_picker.cpp
+++ b/libs/mesh/src/server_picker.cpp
@@ -1,6 +1,7 @@
 #include "gentianlug/mesh/server_picker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gentianlug::mesh {
 
@@ -8,8 +9,11 @@
 static constexpr std::size_t LocalAnswerBytes = 32UL << 10;
 /// A report counts for this time; after that only the calls of this node do.
 static constexpr std::chrono::milliseconds ReportLife{1000};
-/// Assumed at most until the first report.
+/// Assumed until the first report on a service.
 static constexpr std::chrono::milliseconds AssumedServiceTime{50};
+/// Weight of one report in the usual time of a service; small, so that it
+/// outlasts the seconds in which all servers of a zone turn slow.
+static constexpr double UsualTimeWeight = 0.01;
 /// A server of the own zone is used up to a utilization, and up to a multiple
 /// of the cost of the best server anywhere, that depend on the answer's size.
 struct zone_preference {
@@ -48,7 +52,7 @@
 
 double server_picker::endpoint::cost(steady_time Now,
                                      std::chrono::milliseconds Assumed) const {
-  auto Time = Report ? Report->ServiceTime : Assumed;
+  auto Time = reportedTime().count() > 0 ? reportedTime() : Assumed;
   double Base = double(std::max<long long>(Time.count(), 1));
   double Crowding = (load(Now) + 1) / limit(Now);
   return Base * (0.5 + Crowding) * (1 + FailureCost * FailedShare);
@@ -73,6 +77,9 @@
     Services[Record.Service].push_back(Record.Node);
   }
   Endpoints = std::move(Next);
+  std::erase_if(UsualMillis, [&](const auto &Each) {
+    return !Services.contains(Each.first);
+  });
 }
 
 std::vector<const server_picker::endpoint *>
@@ -107,18 +114,29 @@
   return Avoided;
 }
 
+/// A server that nobody has reported on yet counts like the fastest known one,
+/// so that it gets calls, and like the service has usually been, so that it is
+/// tried when all known ones turn slow.
+std::chrono::milliseconds
+server_picker::assumedTime(const service_name &Service,
+                           const std::vector<const endpoint *> &Known) const {
+  auto Usual = UsualMillis.find(Service);
+  if (Usual == UsualMillis.end())
+    return AssumedServiceTime;
+  auto Assumed = std::chrono::milliseconds(std::llround(Usual->second));
+  for (const endpoint *Each : Known)
+    if (auto Time = Each->reportedTime(); Time.count() > 0)
+      Assumed = std::min(Assumed, Time);
+  return Assumed;
+}
+
 const server_record *server_picker::pick(const pick_request &Request,
                                          generator &Gen,
                                          steady_time Now) const {
   auto All = candidates(Request, Now);
   if (All.empty())
     return nullptr;
-  // A server that nobody has reported on yet counts like the fastest known one,
-  // so that it gets calls.
-  auto Assumed = AssumedServiceTime;
-  for (const endpoint *Each : All)
-    if (Each->Report)
-      Assumed = std::min(Assumed, Each->Report->ServiceTime);
+  auto Assumed = assumedTime(Request.Service, All);
   double Best = All.front()->cost(Now, Assumed);
   for (const endpoint *Each : All)
     Best = std::min(Best, Each->cost(Now, Assumed));
@@ -171,6 +189,14 @@
   Endpoint.EjectedUntil = Now + Time;
 }
 
+void server_picker::learnUsualTime(const service_name &Service,
+                                   std::chrono::milliseconds Time) {
+  if (Time <= std::chrono::milliseconds(0))
+    return;
+  auto [Found, Added] = UsualMillis.try_emplace(Service, double(Time.count()));
+  Found->second += UsualTimeWeight * (double(Time.count()) - Found->second);
+}
+
 void server_picker::onEnded(const node_id &Node, try_end End,
                             const std::optional<serving_report> &Report,
                             steady_time Now) {
@@ -183,6 +209,7 @@
   if (Report) {
     Endpoint.Report = Report;
     Endpoint.ReportTime = Now;
+    learnUsualTime(Endpoint.Record.Service, Report->ServiceTime);
     Endpoint.InFlightAtReport = Endpoint.InFlight;
   }
   switch (End) {
--- a/libs/mesh/tests/server_picker_test.cpp
+++ b/libs/mesh/tests/server_picker_test.cpp
@@ -58,6 +58,34 @@
   DOUBLES_EQUAL(0, share("a1"), 0.5);
 }
 
+// Guards against answers that cross zones to servers that only count as fast
+// because nobody has reported on them.
+TEST(ServerPicker, UnknownServersElsewhereDrawNoCalls) {
+  Picker.update({server("a1", "a"), server("b1", "b")});
+  report("a1", {0, 0, 4, 220ms});
+  Bytes = 5000;
+  DOUBLES_EQUAL(1, share("a1"), 0);
+}
+
+// Guards against a server that has not answered yet and draws every call.
+TEST(ServerPicker, ServersWithoutAnswersCountLikeTheFastestKnown) {
+  Picker.update({server("a1", "a"), server("a2", "a")});
+  report("a1", {0, 0, 4, 100ms});
+  report("a2", {1, 0, 4, 0ms});
+  DOUBLES_EQUAL(0.75, share("a1"), 0.25);
+}
+
+// Guards against a zone that nobody leaves when all its servers turn slow,
+// since nothing is known of the others.
+TEST(ServerPicker, SlowZoneIsLeftForUnknownServers) {
+  Picker.update({server("a1", "a"), server("b1", "b")});
+  for (int Answer = 0; Answer < 100; ++Answer)
+    report("a1", {0, 0, 4, 50ms});
+  for (int Answer = 0; Answer < 10; ++Answer)
+    report("a1", {0, 0, 4, 300ms});
+  DOUBLES_EQUAL(0, share("a1"), 0.5);
+}
+
 // Guards against large answers that cross zones because of a short queue.
 TEST(ServerPicker, LargeAnswersStayInTheZoneLonger) {
   Picker.update({server("a1", "a"), server("b1", "b")});
