Look for the relay before watching the store

A relay that stopped as planned also refused its followers before it had told them who relays next. Change: a start reads everything once at a tenth of the price and looks for the relay for at most 2 s; a follower that loses its relay looks for the next one for 0.7 s. A relay that lost the store still sends its followers to the store at once. A base version is proposed only by a node that knows the current ones.

--- a/libs/gateway/include/gentianlug/gateway/mesh_store.h
+++ b/libs/gateway/include/gentianlug/gateway/mesh_store.h
@@ -23,7 +23,7 @@
   onBaseVersions(std::map<service_name, version_name> Versions) = 0;
   virtual void onRollouts(std::vector<mesh::rollout_record> Rollouts) = 0;
   virtual void onZonesOut(std::set<zone_name> Zones) = 0;
-  /// Whether what was told is known to be current.
+  /// Whether the store is watched and what was told is known to be current.
   virtual void onContact(bool Current) = 0;
 };
 
@@ -32,10 +32,14 @@
 public:
   virtual ~mesh_store() = default;
 
-  /// Starts to read and to tell \p Watcher. Unreadable objects are logged and
+  /// Reads everything once, at the reduced price of old data, and tells
+  /// \p Watcher what it read from now on. Unreadable objects are logged and
   /// left out; the others hold.
   virtual void start(mesh_watcher &Watcher) = 0;
-  /// Stops or starts to watch; a start reads everything again.
+  /// Reads the servers once more, at the reduced price of old data.
+  virtual void readServers() = 0;
+  /// Stops or starts to watch. A start right after the first read goes on from
+  /// there; any other start reads everything again.
   virtual void setWatching(bool Watching) = 0;
   /// Asks the store often whether it still answers, so that its loss shows
   /// within a second.
--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -15,7 +15,8 @@
 static constexpr std::chrono::milliseconds HoldCheckPeriod{250};
 /// Pause before a node that watches the store itself looks for a relay again.
 static constexpr std::chrono::milliseconds FollowRetry{2000};
-static constexpr std::chrono::milliseconds FirstFollow{300};
+/// Pause between two steps of a search.
+static constexpr std::chrono::milliseconds SearchPause{250};
 static constexpr std::chrono::milliseconds RelayConnectTimeout{300};
 static constexpr std::chrono::milliseconds RelayIdle{20000};
 /// Questions that a relay holds; further ones are refused.
@@ -23,10 +24,16 @@
 static constexpr int Ok = 200;
 static constexpr int NoNews = 204;
 static constexpr int BadRequest = 400;
+/// The node does not relay (any more); the servers show which one does.
+static constexpr int NoRelay = 410;
+/// The node relays, and cannot say whether it knows all changes.
 static constexpr int Unavailable = 503;
 
 namespace {
 
+/// From where a node hears of changes.
+enum class feed_source { Search, Store, Relay };
+
 struct held_question {
   std::shared_ptr<http1::exchange> Exchange;
   feed_cursor Cursor;
@@ -46,8 +53,10 @@
   net::timer LimitTimer;
   net::timer HoldTimer;
   std::vector<held_question> Held;
-  bool Following = false;
+  feed_source Source = feed_source::Search;
+  mesh::relay_search Search;
   bool Relaying = false;
+  /// Whether the store is watched and has shown all that it holds.
   bool Contact = false;
   std::optional<http1::client_pool::ticket> Asked;
   feed_cursor Cursor;
@@ -63,7 +72,7 @@
        mesh_watcher &Node)
       : Context(Context), Place(std::move(Place)), Store(Store), Node(Node),
         State(drawHexId(Context.Gen)), Pool(Context.Loop, {}, {}),
-        PollTimer(Context.Loop, [this] { ask(); }),
+        PollTimer(Context.Loop, [this] { poll(); }),
         LimitTimer(Context.Loop, [this] { onSilence(); }),
         HoldTimer(Context.Loop, [this] { endHeld(); }) {}
 
@@ -72,12 +81,15 @@
            ZonesKnown;
   }
 
+  std::vector<mesh::server_record> order() const {
+    return Servers ? mesh::relayOrder(*Servers, Place.Zone, Place.Node)
+                   : std::vector<mesh::server_record>();
+  }
+
   // The side of a relay.
 
   void decideRole() {
-    if (!Servers)
-      return;
-    auto Order = mesh::relayOrder(*Servers, Place.Zone, Place.Node);
+    auto Order = order();
     bool Next = !Order.empty() && Order.front().Node == Place.Node;
     if (Next == Relaying)
       return;
@@ -86,13 +98,13 @@
                       {{"zone", Place.Zone.str()}});
     Store.setPulse(Relaying);
     if (Relaying) {
-      if (Following)
+      if (Source != feed_source::Store)
         watchStore("is relay itself");
       HoldTimer.startEvery(HoldCheckPeriod);
     } else {
       HoldTimer.cancel();
-      refuseHeld();
-      PollTimer.startOnce(drawJitter(Context.Gen, FirstFollow));
+      refuseHeld(NoRelay);
+      PollTimer.startOnce(drawJitter(Context.Gen, SearchPause));
     }
   }
 
@@ -104,10 +116,11 @@
                          {"reason", At.failure().message()}});
       return Exchange->respond(http1::statusAnswer(BadRequest));
     }
-    if (!Relaying || Following || !Contact || !complete() ||
-        Held.size() >= MaxHeld)
+    if (!Relaying)
+      return Exchange->respond(http1::statusAnswer(NoRelay));
+    if (!Contact || Held.size() >= MaxHeld)
       return Exchange->respond(http1::statusAnswer(Unavailable));
-    if (!answer(*Exchange, *At))
+    if (!complete() || !answer(*Exchange, *At))
       Held.push_back(
           {std::move(Exchange), *At, Context.Clock.steadyNow() + HoldTime});
   }
@@ -140,23 +153,42 @@
     });
   }
 
-  void refuseHeld() {
+  void refuseHeld(int Status) {
     for (held_question &Each : std::exchange(Held, {}))
-      Each.Exchange->respond(http1::statusAnswer(Unavailable));
+      Each.Exchange->respond(http1::statusAnswer(Status));
   }
 
   // The side of a follower.
 
-  void ask() {
+  void poll() {
     if (Relaying || Asked)
       return;
-    auto Order = complete() ? mesh::relayOrder(*Servers, Place.Zone, Place.Node)
-                            : std::vector<mesh::server_record>();
-    if (Order.empty())
-      return PollTimer.startOnce(drawJitter(Context.Gen, FirstFollow));
-    const mesh::server_record &Relay = Order.front();
+    auto Order = order();
+    if (Source == feed_source::Search)
+      return search(Order);
+    if (!Order.empty())
+      return ask(Order.front());
+    PollTimer.startOnce(drawJitter(Context.Gen, FollowRetry));
+  }
+
+  void search(const std::vector<mesh::server_record> &Order) {
+    PollTimer.startOnce(drawJitter(Context.Gen, SearchPause));
+    switch (
+        mesh::nextStep(Search, Order, Place.Node, Context.Clock.steadyNow())) {
+    case mesh::search_step::Read:
+      return Store.readServers();
+    case mesh::search_step::Ask:
+      return ask(Order.front());
+    case mesh::search_step::Watch:
+      watchStore("no relay found");
+      return decideRole();
+    }
+  }
+
+  void ask(const mesh::server_record &Relay) {
+    PollTimer.cancel();
     AskedRelay = Relay.Node;
-    Cursor.Config = Configuration->Version;
+    Cursor.Config = Configuration ? Configuration->Version : 0;
     http1::request Request;
     Request.Method = "POST";
     Request.Target = FeedPath;
@@ -177,19 +209,22 @@
       return;
     Pool.cancel(*Asked);
     Asked.reset();
+    // Changes may have been missed since the question went out.
     watchStore("relay is silent");
   }
 
   void onAnswer(const http1::send_result &Result) {
     if (Relaying)
       return;
-    if (Result.End != http1::send_end::Answered ||
-        (Result.Answer.Status != Ok && Result.Answer.Status != NoNews))
-      return watchStore("relay does not answer");
+    if (Result.End != http1::send_end::Answered)
+      return loseRelay("relay does not answer");
+    if (Result.Answer.Status == Unavailable && Source == feed_source::Relay)
+      return watchStore("relay has lost the store");
+    if (Result.Answer.Status != Ok && Result.Answer.Status != NoNews)
+      return loseRelay("does not relay");
     if (Result.Answer.Status == NoNews) {
-      if (Following)
-        return ask();
-      return watchStore("relay has another life");
+      attach();
+      return poll();
     }
     auto Update = decodeUpdate(Result.Answer.Body);
     if (!Update) {
@@ -198,24 +233,45 @@
                          {"reason", Update.failure().message()}});
       return watchStore("malformed answer");
     }
-    if (!Following) {
-      Following = true;
-      Store.setWatching(false);
-      Context.Log.write(event::ParentAttached, {{"relay", AskedRelay.str()}});
-    }
+    attach();
     apply(*Update);
-    if (Following)
-      ask();
+    poll();
   }
 
-  void watchStore(const char *Why) {
+  void attach() {
+    if (Source == feed_source::Relay)
+      return;
+    Source = feed_source::Relay;
+    Contact = false;
+    Store.setWatching(false);
+    Context.Log.write(event::ParentAttached, {{"relay", AskedRelay.str()}});
+    Node.onContact(true);
+  }
+
+  /// Another node may have become the relay, or will in a moment.
+  void loseRelay(const char *Why) {
     Cursor = {};
-    PollTimer.startOnce(drawJitter(Context.Gen, FollowRetry));
-    if (!Following)
+    Search.Refused = true;
+    PollTimer.startOnce(drawJitter(
+        Context.Gen, Source == feed_source::Store ? FollowRetry : SearchPause));
+    if (Source != feed_source::Relay)
       return;
-    Following = false;
+    Source = feed_source::Search;
+    Search = {Context.Clock.steadyNow(), false, false, false};
     Context.Log.write(event::ParentLost,
                       {{"relay", AskedRelay.str()}, {"reason", Why}});
+  }
+
+  void watchStore(const char *Why) {
+    Cursor = {};
+    PollTimer.startOnce(drawJitter(Context.Gen, FollowRetry));
+    if (Source == feed_source::Store)
+      return;
+    if (Source == feed_source::Relay)
+      Context.Log.write(event::ParentLost,
+                        {{"relay", AskedRelay.str()}, {"reason", Why}});
+    Source = feed_source::Store;
+    Contact = false;
     Store.setWatching(true);
   }
 
@@ -230,6 +286,7 @@
         !Update.ServersRemoved.empty())
       applyServers(Update);
     if (Update.Orders) {
+      BasesKnown = RolloutsKnown = ZonesKnown = true;
       Orders = *Update.Orders;
       State.setOrders(Orders);
       Node.onBaseVersions(Orders.Bases);
@@ -240,7 +297,7 @@
 
   void applyServers(const feed_update &Update) {
     std::map<node_id, mesh::server_record> Next;
-    if (!Update.ServersWhole)
+    if (!Update.ServersWhole && Servers)
       for (const mesh::server_record &Record : *Servers)
         Next[Record.Node] = Record;
     for (const mesh::server_record &Record : Update.Servers)
@@ -269,9 +326,20 @@
     Servers = std::move(Next);
     State.setServers(*Servers);
     Node.onServers(*Servers);
-    decideRole();
-    if (First && !Relaying)
-      PollTimer.startOnce(drawJitter(Context.Gen, FirstFollow));
+    // Followers learn who relays next before this node refuses them.
+    answerHeld();
+    if (Source != feed_source::Search)
+      return decideRole();
+    auto Now = Context.Clock.steadyNow();
+    if (First)
+      Search = {Now, true, Servers->empty(), false};
+    Search.Refused = false;
+    // A read here would follow upon each read without a pause.
+    if (mesh::nextStep(Search, order(), Place.Node, Now) !=
+        mesh::search_step::Read)
+      return poll();
+    if (First)
+      PollTimer.startOnce(drawJitter(Context.Gen, SearchPause));
   }
 
   void ordersChanged() {
@@ -301,7 +369,6 @@
 
 void feed_task::onServers(std::vector<mesh::server_record> Servers) {
   Impl->setServers(std::move(Servers));
-  Impl->answerHeld();
 }
 
 void feed_task::onBaseVersions(std::map<service_name, version_name> Versions) {
@@ -328,8 +395,8 @@
 void feed_task::onContact(bool Current) {
   Impl->Contact = Current;
   if (!Current)
-    Impl->refuseHeld();
-  if (!Impl->Following)
+    Impl->refuseHeld(Unavailable);
+  if (Impl->Source == feed_source::Store)
     Impl->Node.onContact(Current);
 }
 
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -44,6 +44,8 @@
   bool Stopping = false;
   bool StopNoticeOver = false;
   bool BaseProposed = false;
+  /// Whether what is known is current.
+  bool Current = false;
   std::optional<steady_time> StopSince;
   std::function<void()> Stopped;
   std::optional<mesh::server_record> Published;
@@ -159,15 +161,15 @@
   }
 
   void proposeBase() {
-    const auto &Current = Life.current();
-    if (!Current || !BasesKnown || !RolloutsKnown || BaseProposed ||
-        Versions.base(Current->Service))
+    const auto &Server = Life.current();
+    if (!Server || !Current || !BasesKnown || !RolloutsKnown || BaseProposed ||
+        Versions.base(Server->Service))
       return;
-    const mesh::rollout_record *Rollout = Versions.rollout(Current->Service);
-    if (Rollout && Rollout->Target == Current->Version)
+    const mesh::rollout_record *Rollout = Versions.rollout(Server->Service);
+    if (Rollout && Rollout->Target == Server->Version)
       return;
     BaseProposed = true;
-    Store.publishBaseVersion(Current->Service, Current->Version, false,
+    Store.publishBaseVersion(Server->Service, Server->Version, false,
                              [this](bool) { BaseProposed = false; });
   }
 
@@ -373,6 +375,10 @@
   Impl->updateGate();
 }
 
-void gateway_node::onContact(bool Current) { Impl->Entry.onContact(Current); }
+void gateway_node::onContact(bool Current) {
+  Impl->Current = Current;
+  Impl->Entry.onContact(Current);
+  Impl->proposeBase();
+}
 
 } // namespace gentianlug::gateway
--- a/libs/mesh/include/gentianlug/mesh/relay_order.h
+++ b/libs/mesh/include/gentianlug/mesh/relay_order.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLUG_MESH_RELAY_ORDER_H
 #define GENTIANLUG_MESH_RELAY_ORDER_H
 
+#include "gentianlug/core/clock.h"
 #include "gentianlug/mesh/model.h"
 
 namespace gentianlug::mesh {
@@ -18,6 +19,34 @@
                                       const zone_name &Zone,
                                       const node_id &Self);
 
+/// A node that hears of no changes, and since when it looks for its relay.
+struct relay_search {
+  steady_time Since;
+  /// The process has just started: it knows at most what a cheap read showed.
+  bool AtStart = false;
+  /// The first read showed no other node: all nodes start just now.
+  bool MeshIsNew = false;
+  /// The node that was asked last does not relay, or does not answer.
+  bool Refused = false;
+};
+
+enum class search_step {
+  /// Read the servers again, at the reduced price.
+  Read,
+  /// Ask the first node of the order.
+  Ask,
+  /// Watch the store: this node is the relay, or there is none.
+  Watch,
+};
+
+/// Returns what a node does to hear of changes again.
+///
+/// The limits of the search lie below the times within which changes have to be
+/// in force: a node that finds no relay watches the store in time.
+search_step nextStep(const relay_search &Search,
+                     const std::vector<server_record> &Order,
+                     const node_id &Self, steady_time Now);
+
 } // namespace gentianlug::mesh
 
 #endif // GENTIANLUG_MESH_RELAY_ORDER_H
--- a/libs/mesh/src/relay_order.cpp
+++ b/libs/mesh/src/relay_order.cpp
@@ -6,6 +6,14 @@
 
 namespace gentianlug::mesh {
 
+/// How long a node that has just started looks for its relay.
+static constexpr std::chrono::milliseconds StartSearch{2000};
+/// How long a node looks for the next relay when it has lost one.
+static constexpr std::chrono::milliseconds HandoverSearch{700};
+/// While all nodes start, the first node that is known is seldom the relay in
+/// the end.
+static constexpr std::chrono::milliseconds RelaySettle{1200};
+
 std::vector<server_record> relayOrder(const std::vector<server_record> &Servers,
                                       const zone_name &Zone,
                                       const node_id &Self) {
@@ -30,4 +38,20 @@
   return Order;
 }
 
+search_step nextStep(const relay_search &Search,
+                     const std::vector<server_record> &Order,
+                     const node_id &Self, steady_time Now) {
+  auto Looking = Now - Search.Since;
+  if (Looking >= (Search.AtStart ? StartSearch : HandoverSearch))
+    return search_step::Watch;
+  if (Order.empty())
+    return Search.AtStart ? search_step::Read : search_step::Watch;
+  if (Order.front().Node != Self)
+    return Search.AtStart && Search.Refused ? search_step::Read
+                                            : search_step::Ask;
+  return Search.AtStart && Search.MeshIsNew && Looking < RelaySettle
+             ? search_step::Read
+             : search_step::Watch;
+}
+
 } // namespace gentianlug::mesh
--- a/libs/mesh/tests/relay_order_test.cpp
+++ b/libs/mesh/tests/relay_order_test.cpp
@@ -5,6 +5,7 @@
 
 using namespace gentianlug;
 using namespace gentianlug::mesh;
+using namespace std::chrono_literals;
 
 TEST_GROUP(RelayOrder) {
   std::vector<server_record> Servers;
@@ -53,3 +54,62 @@
   }
   UNSIGNED_LONGS_EQUAL(640 / NodesPerRelay, Relays.size());
 }
+
+TEST_GROUP(RelaySearch) {
+  std::vector<server_record> Order;
+  relay_search Search;
+  steady_time Start{std::chrono::seconds(100)};
+
+  void setup() override { Search.Since = Start; }
+  void knows(const std::string &Node) {
+    server_record Record;
+    Record.Node = node_id(Node);
+    Order.push_back(Record);
+  }
+  bool next(search_step Step, std::chrono::milliseconds After) {
+    return nextStep(Search, Order, node_id("self"), Start + After) == Step;
+  }
+};
+
+// Guards against a storm of full-price calls when all nodes start: each of them
+// would watch the store while the servers appear one by one.
+TEST(RelaySearch, NewMeshIsReadCheaplyUntilItsRelayIsKnown) {
+  Search.AtStart = Search.MeshIsNew = true;
+  CHECK(next(search_step::Read, 100ms));
+  knows("self");
+  CHECK(next(search_step::Read, 500ms));
+  CHECK(next(search_step::Watch, 1200ms));
+  knows("strong");
+  std::swap(Order[0], Order[1]);
+  CHECK(next(search_step::Ask, 1200ms));
+}
+
+// Guards against a node that asks the same wrong node again and again.
+TEST(RelaySearch, RefusalsAtTheStartReadTheServersAgain) {
+  knows("strong");
+  Search.AtStart = Search.Refused = true;
+  CHECK(next(search_step::Read, 300ms));
+  Search.AtStart = false;
+  CHECK(next(search_step::Ask, 300ms));
+}
+
+// Guards against a node that depends on a relay that is gone.
+TEST(RelaySearch, EndsInTimeForChanges) {
+  knows("strong");
+  Search.AtStart = true;
+  CHECK(next(search_step::Ask, 1900ms));
+  CHECK(next(search_step::Watch, 2000ms));
+  Search.AtStart = false;
+  CHECK(next(search_step::Ask, 600ms));
+  CHECK(next(search_step::Watch, 700ms));
+}
+
+TEST(RelaySearch, RestartedRelayWatchesAtOnce) {
+  knows("self");
+  Search.AtStart = true;
+  CHECK(next(search_step::Watch, 0ms));
+}
+
+TEST(RelaySearch, NodeAloneWatchesAfterALoss) {
+  CHECK(next(search_step::Watch, 0ms));
+}
