Pace large answers on narrow links

Change: answers above 16 KB leave in pieces, no faster than the link, behind small ones; a large answer may start while the link is busy for 60 ms beyond the service time. A connection with more than 4 MB to send was never read again. A gate without an answer yet reports no service time.

--- a/libs/gateway/include/gentianlug/gateway/entry_task.h
+++ b/libs/gateway/include/gentianlug/gateway/entry_task.h
@@ -26,7 +26,9 @@
 /// has observed of their servers.
 class entry_task {
 public:
-  entry_task(task_context Context, node_place Place, serving_task &Local);
+  /// \param Pacer of the machine's link.
+  entry_task(task_context Context, node_place Place, serving_task &Local,
+             http1::link_pacer &Pacer);
   ~entry_task();
 
   /// Errors: `net_errc::ListenFailed`.
--- a/libs/gateway/include/gentianlug/gateway/serving_task.h
+++ b/libs/gateway/include/gentianlug/gateway/serving_task.h
@@ -29,8 +29,11 @@
 /// gate in front of it.
 class serving_task final : public serving_port {
 public:
-  /// \param LinkMbps bandwidth of the machine's link; 0 when it has no bound.
-  serving_task(task_context Context, std::uint32_t LinkMbps);
+  /// \param LinkBytesPerSecond bandwidth of the machine's link; 0 when it has
+  ///   no bound.
+  /// \param Pacer of that link.
+  serving_task(task_context Context, double LinkBytesPerSecond,
+               http1::link_pacer &Pacer);
   ~serving_task() override;
 
   /// Errors: `net_errc::ListenFailed`.
@@ -59,6 +62,8 @@
   /// Returns what the server did since the last call of this function.
   rollout::server_evidence takeEvidence();
   std::size_t underWay() const;
+  /// Returns the bytes of answers that wait to be sent to other nodes.
+  std::size_t unsentBytes() const;
   /// Returns the share of the calls at the server that are repeats.
   double repeatShare() const;
   /// Asks for the bytes that other listeners of the node have to send.
--- a/libs/gateway/src/entry_task.cpp
+++ b/libs/gateway/src/entry_task.cpp
@@ -15,11 +15,13 @@
   entry_state Entry;
   std::unique_ptr<http1::server> Listener;
   std::unique_ptr<mesh::route_table> Routes;
+  http1::link_pacer &Pacer;
   bool Current = false;
   bool LastCallOver = false;
 
-  impl(task_context Context, node_place Place, serving_task &Local)
-      : Entry(Context, std::move(Place), Local) {}
+  impl(task_context Context, node_place Place, serving_task &Local,
+       http1::link_pacer &Pacer)
+      : Entry(Context, std::move(Place), Local), Pacer(Pacer) {}
 
   void answer(http1::exchange &Exchange, const std::string &CallId, int Status,
               const char *Reason) {
@@ -88,8 +90,8 @@
 };
 
 entry_task::entry_task(task_context Context, node_place Place,
-                       serving_task &Local)
-    : Impl(std::make_shared<impl>(Context, std::move(Place), Local)) {}
+                       serving_task &Local, http1::link_pacer &Pacer)
+    : Impl(std::make_shared<impl>(Context, std::move(Place), Local, Pacer)) {}
 
 entry_task::~entry_task() = default;
 
@@ -105,6 +107,7 @@
             event::BadRequest,
             {{"client", Client.str()}, {"status", std::int64_t(Status)}});
       });
+  Impl->Listener->paceBy(Impl->Pacer);
   return Impl->Listener->listen(At, {});
 }
 
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -24,10 +24,16 @@
 static constexpr std::chrono::milliseconds StopCheckPeriod{50};
 static constexpr std::chrono::milliseconds LogFlushPeriod{200};
 
+static double linkBytesPerSecond(const node_place &Place) {
+  constexpr double BytesPerMegabit = 125000;
+  return Place.LinkMbps * BytesPerMegabit;
+}
+
 struct gateway_node::impl {
   task_context Context;
   gateway_settings Settings;
   mesh_store &Store;
+  http1::link_pacer Pacer;
   serving_task Serving;
   entry_task Entry;
   rollout_task Rollouts;
@@ -56,8 +62,9 @@
   impl(task_context Context, gateway_settings Wanted, mesh_store &Store,
        mesh_watcher &Node)
       : Context(Context), Settings(std::move(Wanted)), Store(Store),
-        Serving(Context, Settings.Place.LinkMbps),
-        Entry(Context, Settings.Place, Serving),
+        Pacer(Context.Loop, linkBytesPerSecond(Settings.Place)),
+        Serving(Context, linkBytesPerSecond(Settings.Place), Pacer),
+        Entry(Context, Settings.Place, Serving, Pacer),
         Rollouts(Context, Settings.Place.Node, Settings.NodeListener, Store,
                  Serving),
         Feed(Context, Settings.Place, Store, Node),
@@ -226,9 +233,10 @@
     // Callers may still come: too few other nodes of the zone are ready.
     if (Since >= Settings.Bounds.StopGrace - StopReserve - longestCall())
       Entry.onLastCall();
+    bool Answered = Entry.underWay() == 0 && Serving.underWay() == 0 &&
+                    Entry.unsentBytes() == 0 && Serving.unsentBytes() == 0;
     // The next life of the node must know that its server leaves.
-    bool Idle =
-        Entry.underWay() == 0 && Serving.underWay() == 0 && !Store.publishing();
+    bool Idle = Answered && !Store.publishing();
     if ((Since >= CallerNotice && Idle) ||
         Since >= Settings.Bounds.StopGrace - StopReserve) {
       StopTimer.cancel();
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -43,6 +43,7 @@
 
 struct serving_task::impl : std::enable_shared_from_this<serving_task::impl> {
   task_context Context;
+  http1::link_pacer &Pacer;
   mesh::serving_gate Gate;
   std::optional<local_server> Server;
   http1::client_pool Pool;
@@ -64,13 +65,13 @@
   std::unordered_map<route_name, double> AnswerBytes;
   std::function<std::size_t()> OtherUnsent;
 
-  impl(task_context Context, std::uint32_t LinkMbps)
-      : Context(Context), Pool(Context.Loop, {}, {}),
+  impl(task_context Context, double LinkBytesPerSecond,
+       http1::link_pacer &Pacer)
+      : Context(Context), Pacer(Pacer), Pool(Context.Loop, {}, {}),
         GateTimer(Context.Loop, [this] { advance(); }),
         ProbeTimer(Context.Loop, [this] { probe(); }),
         ProbeLimit(Context.Loop, [this] { endProbe(); }) {
-    constexpr double BytesPerMegabit = 125000;
-    Gate.setLinkBytesPerSecond(LinkMbps * BytesPerMegabit);
+    Gate.setLinkBytesPerSecond(LinkBytesPerSecond);
   }
 
   steady_time now() const { return Context.Clock.steadyNow(); }
@@ -123,9 +124,12 @@
     Found->second += SizeWeight * (double(Bytes) - Found->second);
   }
 
+  std::size_t unsentBytes() const {
+    return Listener ? Listener->unsentBytes() : 0;
+  }
+
   void measureLink() {
-    std::size_t Unsent = Listener ? Listener->unsentBytes() : 0;
-    Gate.setUnsentBytes(Unsent + (OtherUnsent ? OtherUnsent() : 0));
+    Gate.setUnsentBytes(unsentBytes() + (OtherUnsent ? OtherUnsent() : 0));
   }
 
   ticket offer(const peer_call &Call, http1::request Request, callback Done) {
@@ -303,6 +307,9 @@
   void probe() {
     if (Gate.confirmed() || !Server || Probe)
       return;
+    // The configuration that names the path has not come yet.
+    if (Server->HealthPath.empty())
+      return ProbeTimer.startOnce(ProbePeriod);
     Context.Metrics.count("server_probes_total");
     http1::request Request;
     Request.Method = "GET";
@@ -352,8 +359,9 @@
   }
 };
 
-serving_task::serving_task(task_context Context, std::uint32_t LinkMbps)
-    : Impl(std::make_shared<impl>(Context, LinkMbps)) {}
+serving_task::serving_task(task_context Context, double LinkBytesPerSecond,
+                           http1::link_pacer &Pacer)
+    : Impl(std::make_shared<impl>(Context, LinkBytesPerSecond, Pacer)) {}
 
 serving_task::~serving_task() = default;
 
@@ -368,6 +376,7 @@
       [Self = Impl.get()](std::shared_ptr<http1::exchange> Exchange) {
         Self->onRequest(std::move(Exchange));
       });
+  Impl->Listener->paceBy(Impl->Pacer);
   return Impl->Listener->listen(At, {});
 }
 
@@ -451,4 +460,6 @@
 
 std::size_t serving_task::underWay() const { return Impl->Calls.size(); }
 
+std::size_t serving_task::unsentBytes() const { return Impl->unsentBytes(); }
+
 } // namespace gentianlug::gateway
--- a/libs/http1/include/gentianlug/http1/server.h
+++ b/libs/http1/include/gentianlug/http1/server.h
@@ -3,6 +3,7 @@
 
 #include "gentianlug/core/address.h"
 #include "gentianlug/core/result.h"
+#include "gentianlug/http1/link_pacer.h"
 #include "gentianlug/http1/message_reader.h"
 #include "gentianlug/http1/socket_rules.h"
 #include "gentianlug/net/event_loop.h"
@@ -60,6 +61,9 @@
   /// Errors: `net_errc::ListenFailed`.
   result<void> listen(const address &At, const socket_rules &Rules);
   void setLimits(const server_limits &Limits);
+  /// Sends the answers on connections that are accepted from now on through
+  /// \p Pacer, which must outlive the server.
+  void paceBy(link_pacer &Pacer);
   void observeRefusals(refusal_observer Observer);
   /// From now on each answer asks its client to close the connection.
   void startDraining();
--- a/libs/http1/src/detail/server_connection.cpp
+++ b/libs/http1/src/detail/server_connection.cpp
@@ -61,9 +61,12 @@
 server_connection::server_connection(
     server_state &Server, std::function<void(server_connection *)> Ended)
     : Server(Server), Ended(std::move(Ended)),
-      Socket(Server.Loop, {.Connected = nullptr,
-                           .Readable = [this] { readRequests(); },
-                           .Closed = [this](bool) { onClosed(); }}),
+      Socket(Server.Loop,
+             {.Connected = nullptr,
+              .Readable = [this] { readRequests(); },
+              .Closed = [this](bool) { onClosed(); },
+              .Sent = [this] { updateReading(); }},
+             Server.Pacer),
       Reader(message_kind::Request, Server.Limits.Message),
       LastActive(std::chrono::steady_clock::now()) {}
 
--- a/libs/http1/src/detail/server_connection.h
+++ b/libs/http1/src/detail/server_connection.h
@@ -17,6 +17,7 @@
   server_limits Limits;
   server::handler Handler;
   server::refusal_observer Refused;
+  link_pacer *Pacer = nullptr;
   bool Draining = false;
   std::size_t UnderWay = 0;
 };
--- a/libs/http1/src/detail/stream_socket.cpp
+++ b/libs/http1/src/detail/stream_socket.cpp
@@ -32,8 +32,10 @@
   setOption(Fd, IPPROTO_TCP, TCP_KEEPCNT, 2);
 }
 
-stream_socket::stream_socket(net::event_loop &Loop, callbacks Callbacks)
-    : Loop(Loop), Callbacks(std::move(Callbacks)), In(evbuffer_new()),
+stream_socket::stream_socket(net::event_loop &Loop, callbacks Callbacks,
+                             link_pacer *Pacer)
+    : Loop(Loop), Callbacks(std::move(Callbacks)),
+      Pacer(Pacer && Pacer->paces() ? Pacer : nullptr), In(evbuffer_new()),
       Out(evbuffer_new()) {}
 
 stream_socket::~stream_socket() {
@@ -123,6 +125,8 @@
 void stream_socket::close() {
   if (!isOpen())
     return;
+  if (Pacer)
+    Pacer->remove(*this);
   event_free(Read);
   event_free(Write);
   Read = Write = nullptr;
@@ -176,28 +180,51 @@
     if (!isOpen())
       return;
   }
+  watchWritable(false);
   flush();
 }
 
-bool stream_socket::flush() {
-  while (sending()) {
-    int Count = evbuffer_write(Out, Fd);
-    if (Count > 0)
-      continue;
-    if (Count < 0 && errno != EAGAIN && errno != EINTR) {
-      // The end shows as a read event too, which reports it to the owner in
-      // its own round.
+bool stream_socket::isPaced() const {
+  return Pacer && unsentBytes() > link_pacer::PieceBytes;
+}
+
+void stream_socket::flush() {
+  // A message whose last piece is due is still in the queue of the pacer.
+  if (isPaced())
+    return Pacer->add(*this);
+  while (sending())
+    if (sendPiece(unsentBytes()) == 0)
+      return;
+}
+
+std::size_t stream_socket::sendPiece(std::size_t Bytes) {
+  if (!isOpen() || !sending())
+    return 0;
+  int Count = evbuffer_write_atmost(Out, Fd, ev_ssize_t(Bytes));
+  if (Count <= 0) {
+    bool Later = Count == 0 || errno == EAGAIN || errno == EINTR;
+    // The end shows as a read event too, which reports it to the owner in its
+    // own round.
+    if (!Later)
       evbuffer_drain(Out, unsentBytes());
-      watchWritable(false);
-      return false;
-    }
-    watchWritable(true);
-    return true;
+    watchWritable(Later);
+    return 0;
   }
+  if (!sending())
+    onSent();
+  return std::size_t(Count);
+}
+
+bool stream_socket::hasPiece() const {
+  return isOpen() && sending() && !WatchingWrite;
+}
+
+void stream_socket::onSent() {
   watchWritable(false);
   if (CloseWhenSent)
     ::shutdown(Fd, SHUT_WR);
-  return true;
+  if (Callbacks.Sent)
+    Callbacks.Sent();
 }
 
 void stream_socket::watchWritable(bool Watch) {
--- a/libs/http1/src/detail/stream_socket.h
+++ b/libs/http1/src/detail/stream_socket.h
@@ -2,6 +2,7 @@
 #define GENTIANLUG_HTTP1_DETAIL_STREAM_SOCKET_H
 
 #include "gentianlug/core/address.h"
+#include "gentianlug/http1/link_pacer.h"
 #include "gentianlug/http1/socket_rules.h"
 #include "gentianlug/net/event_loop.h"
 
@@ -17,7 +18,7 @@
 ///
 /// Its owner must outlive the callback under way; owners defer their own
 /// destruction to the next round of the loop.
-class stream_socket {
+class stream_socket final : public paced_sender {
 public:
   struct callbacks {
     /// A connection that this side opened is established.
@@ -27,10 +28,14 @@
     /// The connection has ended. \p Orderly: the other side closed it and sent
     /// everything before. Runs at most once, and never after `close`.
     std::function<void(bool Orderly)> Closed;
+    /// Bytes that had to wait have been sent.
+    std::function<void()> Sent = nullptr;
   };
 
-  stream_socket(net::event_loop &Loop, callbacks Callbacks);
-  ~stream_socket();
+  /// \param Pacer of the link that large messages leave by; may be null.
+  stream_socket(net::event_loop &Loop, callbacks Callbacks,
+                link_pacer *Pacer = nullptr);
+  ~stream_socket() override;
   stream_socket(const stream_socket &) = delete;
   stream_socket &operator=(const stream_socket &) = delete;
 
@@ -54,6 +59,9 @@
   void close();
   bool isOpen() const { return Fd >= 0; }
 
+  std::size_t sendPiece(std::size_t Bytes) override;
+  bool hasPiece() const override;
+
   evbuffer *input() const { return In; }
   /// Returns the address of the other side.
   address peer() const;
@@ -62,12 +70,16 @@
   static void onEvent(int Fd, short What, void *Argument);
   void onReadable();
   void onWritable();
-  bool flush();
+  void flush();
+  /// Returns whether what waits has to leave in pieces.
+  bool isPaced() const;
+  void onSent();
   void watchWritable(bool Watch);
   void fail(bool Orderly);
 
   net::event_loop &Loop;
   callbacks Callbacks;
+  link_pacer *Pacer;
   int Fd = -1;
   evbuffer *In;
   evbuffer *Out;
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -27,7 +27,7 @@
   net::timer CheckTimer;
 
   impl(net::event_loop &Loop, server_limits Limits, handler Handler)
-      : State{Loop, Limits, std::move(Handler), nullptr},
+      : State{Loop, Limits, std::move(Handler), nullptr, nullptr},
         CheckTimer(Loop, [this] { checkTimes(); }) {}
 
   ~impl() {
@@ -98,6 +98,8 @@
   Impl->State.Refused = std::move(Observer);
 }
 
+void server::paceBy(link_pacer &Pacer) { Impl->State.Pacer = &Pacer; }
+
 void server::startDraining() { Impl->State.Draining = true; }
 
 void server::closeIdle() {
--- a/libs/http1/tests/server_test.cpp
+++ b/libs/http1/tests/server_test.cpp
@@ -153,3 +153,72 @@
   STRCMP_EQUAL("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
                Client.Received.c_str());
 }
+
+// Guards against a connection that is never read again after an answer above
+// the bound on unsent bytes.
+TEST(Server, ReadsOnAfterALargeAnswerIsSent) {
+  start();
+  byte_client Client(Port);
+  Client.send(get("/large"));
+  runUntil(Loop, [&] { return Requests.size() == 1; });
+  constexpr std::size_t LargeBytes = 12UL << 20;
+  at("/large").respond(textAnswer(std::string(LargeBytes, 'x')));
+  Client.send(get("/next"));
+  runUntil(Loop, [&] {
+    Client.receive();
+    return Requests.size() == 2;
+  });
+}
+
+TEST_GROUP(PacedServer) {
+  static constexpr double BytesPerSecond = 1e6;
+  net::event_loop Loop;
+  link_pacer Pacer{Loop, BytesPerSecond};
+  std::uint16_t Port = freePort();
+  std::size_t LargeBytes = 300UL << 10;
+  server Server{Loop, {}, [this](std::shared_ptr<exchange> Next) {
+                  bool Large = Next->received().Target == "/large";
+                  Next->respond(
+                      textAnswer(std::string(Large ? LargeBytes : 5, 'x')));
+                }};
+
+  void setup() override {
+    Server.paceBy(Pacer);
+    CHECK(bool(Server.listen({"127.0.0.1", Port}, {})));
+  }
+};
+
+// Guards against small answers that wait on a narrow link until large ones are
+// through.
+TEST(PacedServer, SmallAnswersPassLargeOnes) {
+  byte_client Large(Port);
+  byte_client Small(Port);
+  auto Start = std::chrono::steady_clock::now();
+  Large.send(get("/large"));
+  runUntil(Loop, [&] { return Large.has("xxxxx"); });
+  Small.send(get("/small"));
+  runUntil(Loop, [&] { return Small.has("xxxxx"); });
+  Large.receive();
+  CHECK(Large.Received.size() < LargeBytes / 2);
+  runUntil(Loop, [&] {
+    Large.receive();
+    return Large.Received.size() > LargeBytes;
+  });
+  // All but what goes ahead at the start takes its time on the link.
+  std::chrono::duration<double> Least(
+      double(LargeBytes - 3 * link_pacer::PieceBytes) / BytesPerSecond);
+  CHECK(std::chrono::steady_clock::now() - Start > Least);
+}
+
+// Guards against answers on one connection that overtake each other, and
+// against a sender that is gone and still holds up the others.
+TEST(PacedServer, AnswersStayInOrderWhenOthersLeave) {
+  byte_client Leaving(Port);
+  byte_client Staying(Port);
+  Leaving.send(get("/large"));
+  Staying.send(get("/large") + get("/small"));
+  runUntil(Loop, [&] { return Leaving.has("xxxxx"); });
+  Leaving.hangUp();
+  runUntil(Loop, [&] { return Staying.has("Content-Length: 5\r\n"); });
+  CHECK(Staying.Received.find("Content-Length: 5\r\n") > LargeBytes);
+}
--- a/libs/mesh/include/gentianlug/mesh/serving_gate.h
+++ b/libs/mesh/include/gentianlug/mesh/serving_gate.h
@@ -134,6 +134,7 @@
   std::uint32_t startsInWindow(steady_time Now);
   std::uint32_t coldLimit() const;
   bool mayStart(steady_time Now);
+  std::chrono::milliseconds serviceTime() const;
   std::chrono::milliseconds linkTime() const;
   void start(const offered_call &Call, steady_time Now);
   void refuse(call_ticket Ticket, gate_refusal Reason);
--- a/libs/mesh/src/serving_gate.cpp
+++ b/libs/mesh/src/serving_gate.cpp
@@ -16,7 +16,8 @@
 static constexpr std::chrono::milliseconds MinTimeLeft{5};
 /// Answers below this size are sent whatever the link has to do.
 static constexpr std::size_t LargeAnswerBytes = 16UL << 10;
-/// Time for which large answers may occupy the link in advance.
+/// Time for which large answers may occupy the link beyond the time that the
+/// server works for the next one.
 static constexpr std::chrono::milliseconds MaxLinkTime{60};
 
 /// How soon the gate looks again while only the cold bound holds calls back.
@@ -97,6 +98,10 @@
   return !isCold(Now) || Recent < coldLimit();
 }
 
+std::chrono::milliseconds serving_gate::serviceTime() const {
+  return std::chrono::milliseconds(std::llround(ServiceTimeMs));
+}
+
 std::chrono::milliseconds serving_gate::linkTime() const {
   if (LinkBytesPerSecond <= 0)
     return std::chrono::milliseconds(0);
@@ -131,7 +136,9 @@
 void serving_gate::offer(const offered_call &Call, steady_time Now) {
   if (auto Reason = refusal(Call, Now))
     return refuse(Call.Ticket, *Reason);
-  if (Call.ExpectedBytes >= LargeAnswerBytes && linkTime() > MaxLinkTime)
+  // The link goes on sending while the server works.
+  if (Call.ExpectedBytes >= LargeAnswerBytes &&
+      linkTime() > MaxLinkTime + serviceTime())
     return refuse(Call.Ticket, gate_refusal::LinkBusy);
   if (Call.Repeat && !Repeats.take())
     return refuse(Call.Ticket, gate_refusal::RepeatsSpent);
@@ -204,8 +211,9 @@
   constexpr double MillisPerSecond = 1000;
   double LinkMs =
       LinkBytesPerSecond > 0 ? Bytes / LinkBytesPerSecond * MillisPerSecond : 0;
-  Report.ServiceTime = std::chrono::milliseconds(
-      std::llround(std::max(ServiceTimeMs, 1.0) + LinkMs));
+  if (ServiceTimeMs > 0)
+    Report.ServiceTime = std::chrono::milliseconds(
+        std::llround(std::max(ServiceTimeMs, 1.0) + LinkMs));
   if (!Server || !Confirmed || Closed)
     return Report;
   Report.Limit = Server->Slots;
--- a/libs/mesh/tests/serving_gate_test.cpp
+++ b/libs/mesh/tests/serving_gate_test.cpp
@@ -201,6 +201,34 @@
   STRCMP_EQUAL("+5", advance().c_str());
 }
 
+// Guards against a link that rests while the server works: one large answer at
+// a time is far less than the link carries.
+TEST(ServingGate, LinkIsFilledForTheTimeThatTheServerWorks) {
+  open(100, 10);
+  Gate.setLinkBytesPerSecond(1e6);
+  offer(call());
+  STRCMP_EQUAL("+1", advance().c_str());
+  Gate.finish(1, 180ms);
+  auto Large = call();
+  Large.ExpectedBytes = 90000;
+  for (const char *Expected : {"+3", "+4", "+5", "-6:link-busy"}) {
+    Large.Ticket = ++LastTicket;
+    offer(Large);
+    STRCMP_EQUAL(Expected, advance().c_str());
+  }
+}
+
+// Guards against a server that looks like the fastest one since it has not
+// answered yet.
+TEST(ServingGate, ReportsNoServiceTimeBeforeTheFirstAnswer) {
+  open(100, 10);
+  LONGS_EQUAL(0, Gate.report(Now).ServiceTime.count());
+  offer(call());
+  (void)advance();
+  Gate.finish(1, 180ms);
+  LONGS_EQUAL(180, Gate.report(Now).ServiceTime.count());
+}
+
 TEST(ServingGate, CallsWithoutTimeAreRefused) {
   auto Call = call();
   Call.Deadline = Now + 1ms;
--- a/standins/node_mesh.cpp
+++ b/standins/node_mesh.cpp
@@ -71,17 +71,20 @@
                                         {"healthPath", "/healthz"}}})}});
 }
 
-machine &node_mesh::add(const std::string &Name, const std::string &Zone) {
+machine &node_mesh::add(const std::string &Name, const std::string &Zone,
+                        std::uint32_t LinkMbps) {
   Machines.push_back(std::make_unique<machine>());
   machine &Next = *Machines.back();
   Next.Name = Name;
   Next.Zone = Zone;
   Next.Instance = "i-" + Name;
+  Next.LinkMbps = LinkMbps;
   Next.Server = std::make_unique<http1::server>(
       Loop, http1::server_limits{},
       [this, &Next](std::shared_ptr<http1::exchange> Exchange) {
         serve(Next, std::move(Exchange));
       });
+  Next.Server->observeRefusals([this](const address &, int) { ++Unreadable; });
   if (auto Opened = Next.Server->listen(Next.App, {}); !Opened)
     std::abort();
   writeSettings(Next);
@@ -94,7 +97,7 @@
                     {{"nodeName", Machine.Name},
                      {"ip", Machine.Inbound.Host},
                      {"zone", Machine.Zone},
-                     {"limits", json::object()},
+                     {"limits", {{"linkMbps", Machine.LinkMbps}}},
                      {"service", "orders"}}},
                    {"network",
                     {{"listen",
@@ -159,15 +162,15 @@
     Machine.Held.push_back(std::move(Exchange));
     return;
   }
-  answer(*Exchange);
+  answer(*Exchange, Machine.ExtraBytes);
 }
 
-void node_mesh::answer(http1::exchange &Exchange) {
+void node_mesh::answer(http1::exchange &Exchange, std::size_t ExtraBytes) {
   http1::response Answer = http1::statusAnswer(Ok);
   Answer.Headers.add("Server-Signature", "sig");
   if (const std::string *Id = Exchange.received().Headers.find("request-id")) {
     Answer.Headers.add("Request-Id", *Id);
-    Answer.Body = "answer to " + *Id;
+    Answer.Body = "answer to " + *Id + std::string(ExtraBytes, '.');
   }
   Exchange.respond(std::move(Answer));
 }
@@ -228,11 +231,13 @@
   Request.Headers.add("Host", "h.example");
   Request.Headers.add("Request-Id", Id);
   Request.Headers.add("Deadline-Ms", "2000");
+  ++Asking;
   // A caller uses a connection anew only while it is sure to be open.
   Client.send(At.Outbound, Request,
               {std::chrono::milliseconds(300), std::chrono::milliseconds(500),
                "Request-Id"},
-              [Id, Done](http1::send_result Result) {
+              [this, Id, Done](http1::send_result Result) {
+                --Asking;
                 Done(Id, Result.End == http1::send_end::Answered
                              ? Result.Answer
                              : http1::statusAnswer(0));
--- a/standins/node_mesh.h
+++ b/standins/node_mesh.h
@@ -38,6 +38,10 @@
   /// Calls that are held back while `HoldAnswers` is set.
   std::vector<std::shared_ptr<http1::exchange>> Held;
   bool HoldAnswers = false;
+  /// Bytes that answers of the server have beside the id.
+  std::size_t ExtraBytes = 0;
+  /// Bandwidth of the machine's link that the node is told; 0 for none.
+  std::uint32_t LinkMbps = 0;
   int Arrivals = 0;
   std::string SettingsFile;
   /// 0 while no node runs.
@@ -60,7 +64,8 @@
   /// Writes a configuration with a route to the one service for each prefix;
   /// prefixes that begin with "/once" may run once at most.
   void putConfig(int Version, const std::vector<std::string> &Prefixes);
-  machine &add(const std::string &Name, const std::string &Zone);
+  machine &add(const std::string &Name, const std::string &Zone,
+               std::uint32_t LinkMbps = 0);
   void spawn(machine &Machine);
   /// Sends a signal and waits for the end of the process if it is SIGKILL.
   void signal(machine &Machine, int Signal);
@@ -71,17 +76,22 @@
       std::function<void(int Status)> Done = [](int) {});
   /// Lets all servers announce themselves every 100 ms.
   void announceOften(bool Often);
-  static void answer(http1::exchange &Exchange);
+  static void answer(http1::exchange &Exchange, std::size_t ExtraBytes = 0);
   void askReady(machine &At, std::function<void(bool)> Done);
   /// Sends a call and passes its id and answer on; status 0 without an answer.
   void
   ask(machine &At, const std::string &Method, const std::string &Path,
       std::function<void(const std::string &Id, const http1::response &)> Done);
 
+  /// Returns the calls of `ask` that have no answer yet.
+  std::size_t underWay() const { return Asking; }
+
   object_store_standin Store;
   std::vector<std::unique_ptr<machine>> Machines;
   /// Runs of each call id at the servers.
   std::map<std::string, int> Runs;
+  /// Requests that a server could not read.
+  int Unreadable = 0;
 
 private:
   void serve(machine &Machine, std::shared_ptr<http1::exchange> Exchange);
@@ -95,6 +105,7 @@
   http1::client_pool Client;
   net::timer Heartbeat;
   std::uint64_t Asked = 0;
+  std::size_t Asking = 0;
 };
 
 } // namespace gentianlug::standin
