Leave fields of the connection between nodes behind

Cause: a request that came from another node kept the Content-Length of that connection, and the node wrote its own beside it. A request with a method like POST had two lengths at the server, which may refuse it as unreadable: the caller got 400. Found by the test that explains each failed request; the soak had these answers all along and did not look at them. Change: taking a call out of a request removes the fields of the connection. The soak counts a status below 500 for a proper request, and requests that a server could not read, as broken.

--- a/libs/gateway/include/gentianlug/gateway/peer_call.h
+++ b/libs/gateway/include/gentianlug/gateway/peer_call.h
@@ -59,8 +59,8 @@
 
 /// Adds \p Call to a request for another node.
 void writePeerCall(http1::request &Request, const peer_call &Call);
-/// Takes the call out of a request; nothing when it holds none or a malformed
-/// one.
+/// Takes the call out of a request, with the fields of the connection between
+/// the nodes; nothing when it holds none or a malformed one.
 std::optional<peer_call> takePeerCall(http1::request &Request);
 
 /// Builds the answer to another node.
--- a/libs/gateway/src/peer_call.cpp
+++ b/libs/gateway/src/peer_call.cpp
@@ -107,6 +107,7 @@
   Call.Repeat = Parts[8] == "1";
   Call.InheritedRepeat = Parts[9] == "1";
   Request.Headers.remove(CallField);
+  http1::removeConnectionFields(Request.Headers);
   return Call;
 }
 
--- a/libs/gateway/tests/messages_test.cpp
+++ b/libs/gateway/tests/messages_test.cpp
@@ -50,6 +50,17 @@
   CHECK(Taken && *Taken == Call);
 }
 
+// Guards against requests with two lengths: one from the node before, one that
+// is written anew.
+TEST(PeerCall, FieldsOfTheConnectionBetweenNodesEndThere) {
+  http1::request Request;
+  Request.Headers.add("Content-Length", "0");
+  Request.Headers.add("Connection", "close");
+  writePeerCall(Request, exampleCall());
+  CHECK(takePeerCall(Request).has_value());
+  UNSIGNED_LONGS_EQUAL(0, Request.Headers.size());
+}
+
 // Guards against a caller that passes for a node.
 TEST(PeerCall, MalformedFieldsAreRefused) {
   for (const char *Value :
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -74,6 +74,7 @@
     constexpr int Ok = 200;
     constexpr int NotFound = 404;
     constexpr int Unavailable = 503;
+    constexpr int FirstServerError = 500;
     if (Once)
       OnceIds.push_back(Id);
     if (Answer.Status == Ok) {
@@ -86,6 +87,8 @@
       Refused.push_back(Id);
     } else if (Answer.Status == NotFound) {
       report(Id + " got 404 on a route that every configuration has");
+    } else if (Answer.Status != 0 && Answer.Status < FirstServerError) {
+      report(Id + " is proper and got " + std::to_string(Answer.Status));
     }
   }
 
@@ -170,6 +173,9 @@
   }
 
   void checkIds() {
+    if (Mesh.Unreadable > 0)
+      report(std::to_string(Mesh.Unreadable) +
+             " requests that a server could not read");
     for (const std::string &Id : OnceIds)
       if (Mesh.Runs[Id] > 1)
         report(Id + " ran " + std::to_string(Mesh.Runs[Id]) + " times");
