Explain a failed request from the logs

Change: gentianlug explain-request ID FILE... tells the decisions in order, the cause, and what else happened on the nodes that were asked. Lines of failed calls name each node that was asked with its reason (asked) and the version of the configuration; the node that did not answer is asked_node.

--- a/libs/gateway/src/entry_call.cpp
+++ b/libs/gateway/src/entry_call.cpp
@@ -162,6 +162,8 @@
                        Entry.Context.Clock.steadyNow());
   if (Finished)
     return;
+  if (!Result.Reason.empty())
+    noteAsked(Node, Result.Reason);
   switch (Result.End) {
   case serving_end::Answered:
     ++Arrivals;
@@ -177,7 +179,7 @@
     MayHaveRun = true;
     Entry.Context.Log.write(event::CallFailed, {{"call", Plan.CallId},
                                                 {"route", Plan.Route.str()},
-                                                {"node", Node.str()},
+                                                {"asked_node", Node.str()},
                                                 {"reason", Result.Reason},
                                                 {"age_ms", age()}});
     if (!Running.empty())
@@ -188,6 +190,12 @@
   }
 }
 
+void entry_call::noteAsked(const node_id &Node, const std::string &Outcome) {
+  if (!Asked.empty())
+    Asked += ", ";
+  Asked.append(Node.str()).append(" ").append(Outcome);
+}
+
 void entry_call::onRefused(const std::string &Reason) {
   LastRefusal = Reason;
   if (!Running.empty())
@@ -233,6 +241,7 @@
                              {"route", Plan.Route.str()},
                              {"reason", "server-error"},
                              {"status", std::int64_t(Result.Answer.Status)},
+                             {"asked", Asked},
                              {"age_ms", age()}});
   finish(std::move(Result.Answer));
 }
@@ -261,8 +270,10 @@
 void entry_call::onDeadline() {
   if (Finished)
     return;
-  if (!Running.empty())
+  for (const running_try &Try : Running) {
     MayHaveRun = true;
+    noteAsked(Try.Node, "still running");
+  }
   giveUp("deadline");
 }
 
@@ -309,9 +320,11 @@
        {"status", std::int64_t(Status)},
        {"reason", Reason},
        {"last_refusal", LastRefusal},
+       {"asked", Asked},
        {"tries", std::int64_t(Tried.size())},
        {"servers", std::int64_t(Entry.Picker.count(Plan.Service))},
        {"version", Version.str()},
+       {"config_version", std::int64_t(Plan.ConfigVersion)},
        {"age_ms", age()}});
   http1::response Answer;
   Answer.Status = Status;
--- a/libs/gateway/src/entry_call.h
+++ b/libs/gateway/src/entry_call.h
@@ -30,6 +30,8 @@
 struct call_plan {
   std::string CallId;
   route_name Route;
+  /// Version of the configuration that the route is from.
+  config_version ConfigVersion = 0;
   service_name Service;
   bool Idempotent = false;
   std::uint32_t MaxAttempts = 1;
@@ -62,6 +64,8 @@
   void send(const mesh::server_record &Target);
   serving_port &portOf(bool AtLocal);
   void onEnded(const node_id &Node, serving_result Result);
+  /// Notes how a try ended, for the log line of a call that fails.
+  void noteAsked(const node_id &Node, const std::string &Outcome);
   void onRefused(const std::string &Reason);
   void onAnswered(serving_result Result);
   void learnSize(std::size_t Bytes);
@@ -92,6 +96,8 @@
   bool Finished = false;
   /// Why the last node that refused the call did so.
   std::string LastRefusal;
+  /// The nodes that did not answer well, each with its reason.
+  std::string Asked;
   /// A failure that the server gave, for the case that nothing better comes.
   std::optional<http1::response> ServerFailure;
 };
--- a/libs/gateway/src/entry_task.cpp
+++ b/libs/gateway/src/entry_task.cpp
@@ -70,6 +70,7 @@
     call_plan Plan;
     Plan.CallId = Stated.CallId;
     Plan.Route = Route->Name;
+    Plan.ConfigVersion = Routes->configuration().Version;
     Plan.Service = *Service;
     Plan.Idempotent = Route->Kind == mesh::call_kind::Idempotent;
     Plan.MaxAttempts = Route->MaxAttempts;
--- a/libs/operator/src/command_groups.h
+++ b/libs/operator/src/command_groups.h
@@ -11,6 +11,9 @@
 result<command_report> runCheck(command_context &Context);
 result<command_report> runExplain(command_context &Context);
 
+// explain_request_command.cpp
+result<command_report> runExplainRequest(command_context &Context);
+
 // apply_commands.cpp
 result<command_report> runApply(command_context &Context);
 result<command_report> runDiff(command_context &Context);
--- a/libs/operator/src/commands.cpp
+++ b/libs/operator/src/commands.cpp
@@ -32,6 +32,12 @@
      "\n"
      "PATH is for example services.commandes.limits.slots, or the start of "
      "one.\n"},
+    {"explain-request", runExplainRequest, false,
+     "tell from the nodes' logs how a request ended and why",
+     "gentianlug explain-request ID FILE...\n"
+     "\n"
+     "FILE is the log of a node; give those of all nodes. Calls that succeed\n"
+     "are not logged.\n"},
     {"diff", runDiff, true, "tell what a change would do",
      "gentianlug diff --platform HOST:PORT --base FILE --overlay "
      "SITE=FILE...\n"
@@ -85,7 +91,8 @@
   std::string Text = "Usage: gentianlug COMMAND [WORD...] [OPTION...]\n\n";
   for (const command_entry &Command : Commands) {
     std::string Name = Command.Name;
-    Name.resize(10, ' ');
+    constexpr std::size_t NameColumn = 17;
+    Name.resize(NameColumn, ' ');
     Text += "  " + Name + Command.Summary + "\n";
   }
   return Text + "\nThe platform is given by --platform HOST:PORT or by the "
