Disturb connections in the soak with loopback relays

Change: silent_relay became fault_relay, which also delays, resets and silences in one direction. In the soak a relay stands between each node and its server, the store, and the other nodes; the stand-in of the store puts the addresses of the relays into the records.

--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -1,6 +1,7 @@
 #include "gentianlug/core/random.h"
 #include "node_mesh.h"
 
+#include <array>
 #include <csignal>
 #include <getopt.h>
 #include <iostream>
@@ -32,6 +33,7 @@
   /// Returns the number of broken promises.
   int run() {
     Mesh.putConfig(ConfigVersion, prefixes());
+    Mesh.useRelays();
     for (int Index = 0; Index < MachineCount; ++Index)
       Mesh.add("n" + std::to_string(Index), "z" + std::to_string(Index % 3));
     Mesh.announceOften(true);
@@ -106,6 +108,8 @@
         if (Each->Process != 0)
           Mesh.signal(*Each, SIGCONT);
         Each->Announces = true;
+        for (auto *Link : linksOf(*Each))
+          (*Link)->setDelay(0ms);
       }
     }
     if (Recovered.size() == MachineCount)
@@ -132,11 +136,37 @@
     }
   }
 
+  static std::array<std::unique_ptr<standins::fault_relay> *, 3>
+  linksOf(machine &Machine) {
+    return {&Machine.ServerLink, &Machine.StoreLink, &Machine.NodeLink};
+  }
+
+  /// Does to the connections of one link what networks do.
+  void disturb(standins::fault_relay &Link) {
+    constexpr std::size_t MostMillis = 400;
+    switch (drawIndex(Gen, 5)) {
+    case 0:
+      return Link.resetAll();
+    case 1:
+      Link.silenceAll();
+      return;
+    case 2:
+      return Link.silenceAll(standins::link_direction::ToServer);
+    case 3:
+      return Link.silenceAll(standins::link_direction::ToClient);
+    default:
+      return Link.setDelay(
+          drawChance(Gen, 0.5)
+              ? 0ms
+              : std::chrono::milliseconds(drawIndex(Gen, MostMillis)));
+    }
+  }
+
   void inject() {
     ++Faults;
     machine &At = any();
     auto &Store = Mesh.Store;
-    switch (drawIndex(Gen, 10)) {
+    switch (drawIndex(Gen, 14)) {
     case 0:
       return Mesh.signal(At, SIGKILL);
     case 1:
@@ -163,6 +193,11 @@
     case 8:
       Mesh.putConfig(++ConfigVersion, prefixes());
       return;
+    case 9:
+    case 10:
+    case 11:
+    case 12:
+      return disturb(**linksOf(At)[drawIndex(Gen, 3)]);
     default:
       // The server starts anew beside its node.
       ++At.Born;
--- a/standins/blackhole_main.cpp
+++ b/standins/blackhole_main.cpp
@@ -1,6 +1,6 @@
+#include "fault_relay.h"
 #include "gentianlug/net/http_server.h"
 #include "program.h"
-#include "silent_relay.h"
 
 using namespace gentianlug;
 using namespace gentianlug::standins;
@@ -23,7 +23,7 @@
   if (!Faults.empty())
     return failProgram(Faults.toError());
   net::event_loop Loop;
-  silent_relay Relay(Loop, To);
+  fault_relay Relay(Loop, To);
   net::http_server Commands(Loop, {}, [&](const net::http_exchange &Exchange) {
     auto Command = settings::parseJson(Exchange.request().Body, "command");
     if (!Command || !Command->is_object())
--- a/standins/node_mesh.cpp
+++ b/standins/node_mesh.cpp
@@ -39,6 +39,12 @@
   std::signal(SIGPIPE, SIG_IGN);
   if (auto Opened = Store.listen(StoreAt); !Opened)
     std::abort();
+  Store.RewriteSpec = [this](const std::string &, const std::string &Name,
+                             json &Spec) {
+    for (auto &Each : Machines)
+      if (Each->Name == Name && Spec.contains("nodeAddress"))
+        Spec["nodeAddress"] = Each->NodeAt.str();
+  };
 }
 
 node_mesh::~node_mesh() {
@@ -87,26 +93,41 @@
   Next.Server->observeRefusals([this](const address &, int) { ++Unreadable; });
   if (auto Opened = Next.Server->listen(Next.App, {}); !Opened)
     std::abort();
+  Next.StoreAt = StoreAt;
+  if (Relays) {
+    Next.ServerLink = relay(Next.ServerAt = nextAddress(), Next.App);
+    Next.StoreLink = relay(Next.StoreAt = nextAddress(), StoreAt);
+    Next.NodeLink = relay(Next.NodeAt = nextAddress(), Next.Inbound);
+  }
   writeSettings(Next);
   spawn(Next);
   return Next;
 }
 
+std::unique_ptr<standins::fault_relay> node_mesh::relay(const address &At,
+                                                        const address &To) {
+  auto Relay = std::make_unique<standins::fault_relay>(Loop, To);
+  if (auto Opened = Relay->listen(At); !Opened)
+    std::abort();
+  return Relay;
+}
+
 void node_mesh::writeSettings(machine &Machine) {
-  json Settings = {{"self",
-                    {{"nodeName", Machine.Name},
-                     {"ip", Machine.Inbound.Host},
-                     {"zone", Machine.Zone},
-                     {"limits", {{"linkMbps", Machine.LinkMbps}}},
-                     {"service", "orders"}}},
-                   {"network",
-                    {{"listen",
-                      {{"inbound", Machine.Inbound.str()},
-                       {"outbound", Machine.Outbound.str()},
-                       {"ready", Machine.Ready.str()},
-                       {"control", Machine.Control.str()}}}}},
-                   {"platform", {{"platform", {{"address", StoreAt.str()}}}}},
-                   {"terms", {{"bounds", {{"graceS", 6}}}}}};
+  json Settings = {
+      {"self",
+       {{"nodeName", Machine.Name},
+        {"ip", Machine.Inbound.Host},
+        {"zone", Machine.Zone},
+        {"limits", {{"linkMbps", Machine.LinkMbps}}},
+        {"service", "orders"}}},
+      {"network",
+       {{"listen",
+         {{"inbound", Machine.Inbound.str()},
+          {"outbound", Machine.Outbound.str()},
+          {"ready", Machine.Ready.str()},
+          {"control", Machine.Control.str()}}}}},
+      {"platform", {{"platform", {{"address", Machine.StoreAt.str()}}}}},
+      {"terms", {{"bounds", {{"graceS", 6}}}}}};
   char Name[] = "/tmp/gentianlug-node-XXXXXX";
   close(mkstemp(Name));
   Machine.SettingsFile = Name;
@@ -178,7 +199,7 @@
 void node_mesh::announce(machine &Machine, const char *State,
                          std::function<void(int Status)> Done) {
   json Body = {
-      {"address", Machine.App.str()},
+      {"address", Machine.ServerAt.str()},
       {"born", Machine.Born},
       {"info",
        {{"service", "orders"},
--- a/standins/node_mesh.h
+++ b/standins/node_mesh.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLUG_STANDINS_NODE_MESH_H
 #define GENTIANLUG_STANDINS_NODE_MESH_H
 
+#include "fault_relay.h"
 #include "gentianlug/http1/client_pool.h"
 #include "gentianlug/http1/server.h"
 #include "object_store_standin.h"
@@ -43,6 +44,15 @@
   /// Bandwidth of the machine's link that the node is told; 0 for none.
   std::uint32_t LinkMbps = 0;
   int Arrivals = 0;
+  /// What passes on the connections of the server, of the store, and of other
+  /// nodes to this node; empty without relays.
+  std::unique_ptr<standins::fault_relay> ServerLink;
+  std::unique_ptr<standins::fault_relay> StoreLink;
+  std::unique_ptr<standins::fault_relay> NodeLink;
+  /// Addresses under which others reach the ends of these links.
+  address ServerAt = App;
+  address StoreAt;
+  address NodeAt = Inbound;
   std::string SettingsFile;
   /// 0 while no node runs.
   pid_t Process = 0;
@@ -56,6 +66,8 @@
   /// \param LogFolder folder for the logs of the nodes; "" for none.
   node_mesh(net::event_loop &Loop, std::string Program,
             std::string LogFolder = "");
+  /// Puts relays between the processes of machines that are added from now on.
+  void useRelays() { Relays = true; }
   /// Ends the processes that it started.
   ~node_mesh();
   node_mesh(const node_mesh &) = delete;
@@ -94,6 +106,8 @@
   int Unreadable = 0;
 
 private:
+  std::unique_ptr<standins::fault_relay> relay(const address &At,
+                                               const address &To);
   void serve(machine &Machine, std::shared_ptr<http1::exchange> Exchange);
   void writeSettings(machine &Machine);
   void announceAll();
@@ -102,6 +116,7 @@
   std::string Program;
   std::string LogFolder;
   address StoreAt = nextAddress();
+  bool Relays = false;
   http1::client_pool Client;
   net::timer Heartbeat;
   std::uint64_t Asked = 0;
--- a/standins/object_store_standin.cpp
+++ b/standins/object_store_standin.cpp
@@ -252,6 +252,8 @@
                                                             : json::object();
   std::string Target =
       Request.Method == "POST" ? Meta.value("name", std::string()) : Name;
+  if (RewriteSpec && !Status && Body.is_object() && Body.contains("spec"))
+    RewriteSpec(Kind, Target, Body["spec"]);
   json Object = get(Kind, Target);
   if (Request.Method == "POST") {
     if (!Object.is_null())
--- a/standins/object_store_standin.h
+++ b/standins/object_store_standin.h
@@ -5,6 +5,7 @@
 #include "gentianlug/net/timer.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -53,6 +54,10 @@
   /// Calls a second; further ones get 429. 0 for no bound.
   void setRate(std::size_t CallsPerSecond) { Rate = CallsPerSecond; }
 
+  /// Changes what clients store, for example to put relays between them.
+  std::function<void(const std::string &Kind, const std::string &Name,
+                     json &Spec)>
+      RewriteSpec;
   store_faults Faults;
   /// Calls so far, in tenths of the price of one.
   std::uint64_t PricedTenths = 0;
