Spare a lost store the calls of followers and writers

When a relay lost the store, each of its followers listed the five kinds at full price, and again on the store's return. Ruled out: the relays' own pulse, 56 calls in 8 s. Change: a follower whose relay lost the store probes the store once, and watches it if that works; else it goes on asking the relay, and probes every 2 s. New relays hold questions until they are current. NewRelaysHoldQuestionsUntilTheyAreCurrent and FollowersWaitForTheRelayWhileTheStoreIsAway fail without their mends.

--- a/libs/gateway/include/gentianlug/gateway/mesh_store.h
+++ b/libs/gateway/include/gentianlug/gateway/mesh_store.h
@@ -41,6 +41,8 @@
   /// Stops or starts to watch. A start right after the first read goes on from
   /// there; any other start reads everything again.
   virtual void setWatching(bool Watching) = 0;
+  /// Asks the store once whether it answers, at the reduced price.
+  virtual void probe(std::function<void(bool Reached)> Done) = 0;
   /// Asks the store often whether it still answers, so that its loss shows
   /// within a second.
   virtual void setPulse(bool Pulse) = 0;
--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -17,6 +17,9 @@
 static constexpr std::chrono::milliseconds FollowRetry{2000};
 /// Pause between two steps of a search.
 static constexpr std::chrono::milliseconds SearchPause{250};
+/// Pause between two questions to the store while it is away for this node and
+/// for its relay; each is priced in full then. The relay is asked meanwhile.
+static constexpr std::chrono::milliseconds AwayProbePause{2000};
 static constexpr std::chrono::milliseconds RelayConnectTimeout{300};
 static constexpr std::chrono::milliseconds RelayIdle{20000};
 /// Questions that a relay holds; further ones are refused.
@@ -56,14 +59,19 @@
   feed_source Source = feed_source::Search;
   mesh::relay_search Search;
   bool Relaying = false;
-  /// Whether the store is watched and has shown all that it holds.
-  bool Contact = false;
+  /// Whether the store, which is watched, has shown all that it holds (true) or
+  /// was lost (false).
+  std::optional<bool> Contact;
+  /// The relay has lost the store, and this node does not reach it either.
+  bool StoreAway = false;
   std::optional<http1::client_pool::ticket> Asked;
   feed_cursor Cursor;
   node_id AskedRelay;
   std::shared_ptr<const mesh::mesh_configuration> Configuration;
   std::optional<std::vector<mesh::server_record>> Servers;
   mesh_orders Orders;
+  bool Probing = false;
+  steady_time NextProbe{};
   bool BasesKnown = false;
   bool RolloutsKnown = false;
   bool ZonesKnown = false;
@@ -118,9 +126,10 @@
     }
     if (!Relaying)
       return Exchange->respond(http1::statusAnswer(NoRelay));
-    if (!Contact || Held.size() >= MaxHeld)
+    if (Contact == false || Held.size() >= MaxHeld)
       return Exchange->respond(http1::statusAnswer(Unavailable));
-    if (!complete() || !answer(*Exchange, *At))
+    // A new relay knows in a moment whether it knows all changes.
+    if (!Contact || !complete() || !answer(*Exchange, *At))
       Held.push_back(
           {std::move(Exchange), *At, Context.Clock.steadyNow() + HoldTime});
   }
@@ -136,7 +145,7 @@
   }
 
   void answerHeld() {
-    if (!complete())
+    if (!complete() || Contact != true)
       return;
     std::erase_if(Held, [&](held_question &Each) {
       return answer(*Each.Exchange, Each.Cursor);
@@ -148,7 +157,8 @@
     std::erase_if(Held, [&](held_question &Each) {
       if (Now < Each.Until)
         return false;
-      Each.Exchange->respond(http1::statusAnswer(NoNews));
+      Each.Exchange->respond(
+          http1::statusAnswer(Contact == true ? NoNews : Unavailable));
       return true;
     });
   }
@@ -164,6 +174,8 @@
     if (Relaying || Asked)
       return;
     auto Order = order();
+    if (StoreAway && !Probing && Context.Clock.steadyNow() >= NextProbe)
+      probeStore();
     if (Source == feed_source::Search)
       return search(Order);
     if (!Order.empty())
@@ -180,6 +192,8 @@
     case mesh::search_step::Ask:
       return ask(Order.front());
     case mesh::search_step::Watch:
+      if (StoreAway && !Order.empty() && Order.front().Node != Place.Node)
+        return ask(Order.front());
       watchStore("no relay found");
       return decideRole();
     }
@@ -210,7 +224,7 @@
     Pool.cancel(*Asked);
     Asked.reset();
     // Changes may have been missed since the question went out.
-    watchStore("relay is silent");
+    loseStore("relay is silent");
   }
 
   void onAnswer(const http1::send_result &Result) {
@@ -219,7 +233,7 @@
     if (Result.End != http1::send_end::Answered)
       return loseRelay("relay does not answer");
     if (Result.Answer.Status == Unavailable && Source == feed_source::Relay)
-      return watchStore("relay has lost the store");
+      return loseStore("relay has lost the store");
     if (Result.Answer.Status != Ok && Result.Answer.Status != NoNews)
       return loseRelay("does not relay");
     if (Result.Answer.Status == NoNews) {
@@ -238,11 +252,40 @@
     poll();
   }
 
+  /// The relay cannot be trusted with changes any more: this node watches the
+  /// store itself, unless the store is away for it too.
+  void loseStore(const char *Why) {
+    loseRelay(Why);
+    probeStore();
+  }
+
+  void probeStore() {
+    Probing = true;
+    Store.probe([this](bool Reached) {
+      Probing = false;
+      if (Source != feed_source::Search)
+        return;
+      if (!Reached) {
+        NextProbe = Context.Clock.steadyNow() + AwayProbePause / 2 +
+                    drawJitter(Context.Gen, AwayProbePause);
+        if (!std::exchange(StoreAway, true))
+          Node.onContact(false);
+        return;
+      }
+      // After an outage the relay finds the store again in a moment; a relay
+      // that alone has lost it does not.
+      if (!std::exchange(StoreAway, false))
+        return watchStore("relay has lost the store");
+      Search.Since = Context.Clock.steadyNow();
+    });
+  }
+
   void attach() {
+    StoreAway = false;
     if (Source == feed_source::Relay)
       return;
     Source = feed_source::Relay;
-    Contact = false;
+    Contact.reset();
     Store.setWatching(false);
     Context.Log.write(event::ParentAttached, {{"relay", AskedRelay.str()}});
     Node.onContact(true);
@@ -271,7 +314,8 @@
       Context.Log.write(event::ParentLost,
                         {{"relay", AskedRelay.str()}, {"reason", Why}});
     Source = feed_source::Store;
-    Contact = false;
+    StoreAway = false;
+    Contact.reset();
     Store.setWatching(true);
   }
 
@@ -394,7 +438,9 @@
 
 void feed_task::onContact(bool Current) {
   Impl->Contact = Current;
-  if (!Current)
+  if (Current)
+    Impl->answerHeld();
+  else
     Impl->refuseHeld(Unavailable);
   if (Impl->Source == feed_source::Store)
     Impl->Node.onContact(Current);
--- a/libs/gateway/tests/feed_task_test.cpp
+++ b/libs/gateway/tests/feed_task_test.cpp
@@ -56,7 +56,12 @@
       return;
     ++WatchStarts;
     tell();
-    Watcher->onContact(true);
+    if (TellsContact)
+      Watcher->onContact(true);
+  }
+  void probe(std::function<void(bool)> Done) override {
+    ++Probes;
+    Done(Reached);
   }
   void setPulse(bool) override {}
   void publishServer(const mesh::server_record &,
@@ -80,12 +85,28 @@
     if (Watching)
       tell();
   }
+  void lose() {
+    Reached = false;
+    if (Watching)
+      Watcher->onContact(false);
+  }
+  void regain() {
+    Reached = true;
+    if (!Watching)
+      return;
+    tell();
+    Watcher->onContact(true);
+  }
 
   const store_content &Content;
   mesh_watcher *Watcher = nullptr;
   bool Watching = false;
   int WatchStarts = 0;
   int Reads = 0;
+  /// Whether a watch is current at once.
+  bool TellsContact = true;
+  bool Reached = true;
+  int Probes = 0;
 };
 
 class remembering_node final : public mesh_watcher {
@@ -218,6 +239,42 @@
   LONGS_EQUAL(1, Follower.Store.WatchStarts);
 }
 
+// Guards against an outage in which each follower asks the store at full price,
+// and again when it is back.
+TEST(FeedTask, FollowersWaitForTheRelayWhileTheStoreIsAway) {
+  feeding_node &Relay = add("relay", 200);
+  feeding_node &Follower = add("follower", 10);
+  startAll();
+  awaitVersion(2);
+  Relay.Store.lose();
+  Follower.Store.lose();
+  runUntil(Loop, [&] { return Follower.Store.Probes > 2; });
+  CHECK_FALSE(Follower.Node.Contact);
+  Follower.Store.regain();
+  Content.Version = 3;
+  Relay.Store.regain();
+  awaitVersion(3);
+  LONGS_EQUAL(0, Follower.Store.WatchStarts);
+}
+
+// Guards against followers that refuse to trust a new relay because it needs a
+// moment to read everything.
+TEST(FeedTask, NewRelaysHoldQuestionsUntilTheyAreCurrent) {
+  feeding_node &Relay = add("relay", 200);
+  feeding_node &Next = add("next", 100);
+  feeding_node &Follower = add("follower", 10);
+  startAll();
+  awaitVersion(2);
+  Next.Store.TellsContact = false;
+  Content.Servers[0].State = mesh::server_state::Paused;
+  Relay.Store.changed();
+  runUntil(Loop, [&] { return Next.Store.WatchStarts == 1; });
+  net::timer Contact(Loop, [&] { Next.Store.Watcher->onContact(true); });
+  Contact.startOnce(std::chrono::milliseconds(200));
+  awaitVersion(3);
+  LONGS_EQUAL(0, Follower.Store.WatchStarts);
+}
+
 // Guards against a node that starts beside a dead relay and never hears of a
 // change.
 TEST(FeedTask, NodeWatchesWhenItsRelayIsDead) {
