Let large answers wait for a server of the own zone

Change: for a quarter of the target latency, answers above 32 KB only ask servers of their own zone, again every 60 ms; then any zone. StaysInTheZoneWhenAsked covers the choice; it was written with the change.

--- a/libs/gateway/src/entry_call.cpp
+++ b/libs/gateway/src/entry_call.cpp
@@ -14,6 +14,12 @@
 /// Part of its time left that a call of a server may wait: the call that it
 /// belongs to has already been paid for.
 static constexpr double NestedWaitPart = 0.5;
+/// Answers of this size wait for a server of the own zone: most are refused
+/// only until a narrow link has sent the answer before ...
+static constexpr std::size_t ZoneAnswerBytes = 32UL << 10;
+/// ... for this part of the target latency.
+static constexpr double ZoneWaitPart = 0.25;
+static constexpr std::chrono::milliseconds ZoneWaitPause{60};
 /// A repeat needs this part of the target latency as time left.
 static constexpr double RepeatPart = 0.25;
 /// A second try starts beside a silent first one after this many times the
@@ -37,7 +43,8 @@
                        call_plan Plan)
     : Entry(Entry), Exchange(std::move(Exchange)), Plan(std::move(Plan)),
       DeadlineTimer(Entry.Context.Loop, [this] { onDeadline(); }),
-      SecondTryTimer(Entry.Context.Loop, [this] { startSecondTry(); }) {}
+      SecondTryTimer(Entry.Context.Loop, [this] { startSecondTry(); }),
+      ZoneWaitTimer(Entry.Context.Loop, [this] { askZoneAgain(); }) {}
 
 std::chrono::milliseconds entry_call::timeLeft() const {
   return std::max(std::chrono::milliseconds(0),
@@ -75,10 +82,15 @@
 
 void entry_call::tryNext() {
   auto Now = Entry.Context.Clock.steadyNow();
-  if (Tried.size() >= MaxNodesTried)
-    return giveUp("all-refused");
+  mesh::pick_request Request = pickRequest();
+  Request.StayInZone = staysInZone(Request);
+  bool MayAsk = Tried.size() < MaxNodesTried;
   const mesh::server_record *Target =
-      Entry.Picker.pick(pickRequest(), Entry.Context.Gen, Now);
+      MayAsk ? Entry.Picker.pick(Request, Entry.Context.Gen, Now) : nullptr;
+  if (!Target && Request.StayInZone)
+    return ZoneWaitTimer.startOnce(ZoneWaitPause);
+  if (!MayAsk)
+    return giveUp("all-refused");
   if (!Target) {
     leaveNewVersion();
     Target = Entry.Picker.pick(pickRequest(), Entry.Context.Gen, Now);
@@ -88,6 +100,19 @@
   send(*Target);
 }
 
+bool entry_call::staysInZone(const mesh::pick_request &Request) const {
+  return Request.ExpectedBytes >= ZoneAnswerBytes && Arrivals == 0 &&
+         age() < part(Plan.TargetLatency, ZoneWaitPart) &&
+         Entry.Picker.servesInZone(Request);
+}
+
+void entry_call::askZoneAgain() {
+  if (Finished)
+    return;
+  Tried.clear();
+  tryNext();
+}
+
 void entry_call::leaveNewVersion() {
   const version_name *Base = Entry.Versions.base(Plan.Service);
   const mesh::rollout_record *Rollout = Entry.Versions.rollout(Plan.Service);
@@ -200,8 +225,7 @@
   LastRefusal = Reason;
   if (!Running.empty())
     return;
-  if (Arrivals >= Plan.MaxAttempts || Tried.size() >= MaxNodesTried ||
-      Reason == "repeats-spent")
+  if (Arrivals >= Plan.MaxAttempts || Reason == "repeats-spent")
     return giveUp(Reason);
   leaveNewVersion();
   tryNext();
@@ -287,6 +311,7 @@
 void entry_call::cancelRunning() {
   DeadlineTimer.cancel();
   SecondTryTimer.cancel();
+  ZoneWaitTimer.cancel();
   for (const running_try &Try : std::exchange(Running, {})) {
     portOf(Try.AtLocal).cancel(Try.Ticket);
     Entry.Picker.onEnded(Try.Node, mesh::try_end::Canceled, std::nullopt,
--- a/libs/gateway/src/entry_call.h
+++ b/libs/gateway/src/entry_call.h
@@ -77,6 +77,10 @@
   void answerOwn(int Status, const std::string &Reason);
   void finish(http1::response Answer);
   bool mayRepeat() const;
+  /// Returns whether the answer is worth a wait for a server of the own zone.
+  bool staysInZone(const mesh::pick_request &Request) const;
+  /// Asks the servers of the own zone anew.
+  void askZoneAgain();
   std::chrono::milliseconds timeLeft() const;
   std::chrono::milliseconds age() const;
   mesh::pick_request pickRequest() const;
@@ -86,6 +90,7 @@
   call_plan Plan;
   net::timer DeadlineTimer;
   net::timer SecondTryTimer;
+  net::timer ZoneWaitTimer;
   std::vector<node_id> Tried;
   std::vector<running_try> Running;
   version_name Version;
--- a/libs/mesh/include/gentianlug/mesh/server_picker.h
+++ b/libs/mesh/include/gentianlug/mesh/server_picker.h
@@ -40,6 +40,8 @@
   const std::vector<node_id> &Tried;
   /// Size of the answer, as far as it can be foreseen.
   std::size_t ExpectedBytes = 0;
+  /// Only servers of the own zone that take calls at the moment.
+  bool StayInZone = false;
 };
 
 /// Chooses servers by expected time, own zone first.
@@ -65,6 +67,9 @@
   void onEnded(const node_id &Node, try_end End,
                const std::optional<serving_report> &Report, steady_time Now);
 
+  /// Returns whether some server of the own zone may serve, also one that has
+  /// been tried or that refuses at the moment.
+  bool servesInZone(const pick_request &Request) const;
   /// Returns whether a second try may be started beside a running one: some
   /// server of the service has room to spare.
   bool hasRoom(const pick_request &Request, steady_time Now) const;
--- a/libs/mesh/src/server_picker.cpp
+++ b/libs/mesh/src/server_picker.cpp
@@ -82,6 +82,23 @@
   });
 }
 
+static bool mayServe(const server_record &Record, const pick_request &Request) {
+  return Record.State == server_state::Ready &&
+         Record.Version == Request.Version &&
+         !Request.ZonesOut.contains(Record.Zone);
+}
+
+bool server_picker::servesInZone(const pick_request &Request) const {
+  auto Found = Services.find(Request.Service);
+  return Found != Services.end() &&
+         std::any_of(Found->second.begin(), Found->second.end(),
+                     [&](const node_id &Node) {
+                       const server_record &Record = Endpoints.at(Node).Record;
+                       return Record.Zone == Request.OwnZone &&
+                              mayServe(Record, Request);
+                     });
+}
+
 std::vector<const server_picker::endpoint *>
 server_picker::candidates(const pick_request &Request, steady_time Now) const {
   std::vector<const endpoint *> Usable;
@@ -92,16 +109,15 @@
   for (const node_id &Node : Found->second) {
     const endpoint &Endpoint = Endpoints.at(Node);
     const server_record &Record = Endpoint.Record;
-    if (Record.State != server_state::Ready ||
-        Record.Version != Request.Version ||
-        Request.ZonesOut.contains(Record.Zone) ||
+    if (!mayServe(Record, Request) ||
+        (Request.StayInZone && Record.Zone != Request.OwnZone) ||
         std::find(Request.Tried.begin(), Request.Tried.end(), Node) !=
             Request.Tried.end())
       continue;
     bool Avoid = Now < Endpoint.EjectedUntil || Now < Endpoint.RefusingUntil;
     (Avoid ? Avoided : Usable).push_back(&Endpoint);
   }
-  if (!Usable.empty())
+  if (!Usable.empty() || Request.StayInZone)
     return Usable;
   // Nobody else is left: those that have been left out for the longest.
   std::sort(Avoided.begin(), Avoided.end(),
--- a/libs/mesh/tests/server_picker_test.cpp
+++ b/libs/mesh/tests/server_picker_test.cpp
@@ -95,6 +95,23 @@
   DOUBLES_EQUAL(1, share("a1"), 0);
 }
 
+// Guards against large answers that cross zones while their zone only has to
+// send what it has begun.
+TEST(ServerPicker, StaysInTheZoneWhenAsked) {
+  Picker.update({server("a1", "a"), server("b1", "b")});
+  pick_request Request{Service,  Version, OwnNode, Zone,
+                       ZonesOut, Tried,   90000,   true};
+  CHECK(Picker.servesInZone(Request));
+  STRCMP_EQUAL("a1", Picker.pick(Request, Gen, Now)->Node.str().c_str());
+  report("a1", {4, 0, 4, 50ms}, try_end::Refused);
+  CHECK(Picker.pick(Request, Gen, Now) == nullptr);
+  CHECK(Picker.servesInZone(Request));
+  Now += 1s;
+  STRCMP_EQUAL("a1", Picker.pick(Request, Gen, Now)->Node.str().c_str());
+  ZonesOut.insert(zone_name("a"));
+  CHECK_FALSE(Picker.servesInZone(Request));
+}
+
 TEST(ServerPicker, LargeAnswersComeFromTheOwnNode) {
   Picker.update({server("a1", "a"), server("own", "a"), server("a2", "a")});
   Bytes = 90000;
