Close a connection after its last answer was sent

Cause: a closing connection was dropped two seconds after its last answer was given, also while the answer was still leaving by a narrow link: a download that begins after SIGTERM was cut. Change: the two seconds begin anew whenever the client takes more bytes.

--- a/libs/http1/src/detail/server_connection.cpp
+++ b/libs/http1/src/detail/server_connection.cpp
@@ -5,7 +5,8 @@
 
 namespace gentianlug::http1::detail {
 
-/// Time that a client gets to close its side after the last answer.
+/// Time that a client gets to take more of the last answer, and to close its
+/// side after it.
 static constexpr std::chrono::seconds CloseGrace{2};
 /// Unsent bytes at which a connection is not read any further.
 static constexpr std::size_t MaxUnsentBytes = 4UL << 20;
@@ -79,6 +80,9 @@
   auto Passed = [&](const std::optional<time_point> &Since, auto Limit) {
     return Since && Now - *Since > Limit;
   };
+  std::size_t Unsent = Socket.unsentBytes();
+  if (ClosingSince && Unsent < std::exchange(UnsentBefore, Unsent))
+    ClosingSince = Now;
   if (Passed(ClosingSince, CloseGrace))
     return drop();
   if (ClosingSince)
@@ -194,6 +198,7 @@
     LastActive = std::chrono::steady_clock::now();
     if (Last) {
       ClosingSince = LastActive;
+      UnsentBefore = Socket.unsentBytes();
       Socket.closeAfterSending();
       return;
     }
--- a/libs/http1/src/detail/server_connection.h
+++ b/libs/http1/src/detail/server_connection.h
@@ -58,7 +58,9 @@
   address Client;
   time_point LastActive;
   std::optional<time_point> HeadSince;
+  /// When the last answer was given, or bytes of it were taken last.
   std::optional<time_point> ClosingSince;
+  std::size_t UnsentBefore = 0;
   /// The client asked to close after its last request, or a request could not
   /// be read: nothing more is read.
   bool LastRequestSeen = false;
--- a/libs/http1/tests/server_test.cpp
+++ b/libs/http1/tests/server_test.cpp
@@ -210,6 +210,20 @@
   CHECK(std::chrono::steady_clock::now() - Start > Least);
 }
 
+// Guards against a connection that is closed some time after its last answer
+// was given, and not after it was sent.
+TEST(PacedServer, LastAnswersAreSentToTheEnd) {
+  // 4 s on this link, longer than a client gets to close its side.
+  LargeBytes = 4000000;
+  byte_client Client(Port);
+  Client.send("GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  runUntil(Loop, [&] {
+    Client.receive();
+    return Client.Ended || Client.Received.size() > LargeBytes;
+  });
+  CHECK(Client.Received.size() > LargeBytes);
+}
+
 // Guards against answers on one connection that overtake each other, and
 // against a sender that is gone and still holds up the others.
 TEST(PacedServer, AnswersStayInOrderWhenOthersLeave) {
