Derive the times of the feed from the settings

Cause: how fast a lost relay or a lost store is noticed were constants that fit a configuration time of 2 s only. Five decoded values were used nowhere. Change: the times shrink with the configuration time below 2 s. A story of a request leaves empty values out. TimesFollowTheTimeOfConfigurations is new.

--- a/libs/gateway/include/gentianlug/gateway/feed_task.h
+++ b/libs/gateway/include/gentianlug/gateway/feed_task.h
@@ -23,6 +23,8 @@
   ~feed_task() override;
 
   void start();
+  /// Takes over how fast changes have to be in force.
+  void onBounds(const mesh::mesh_bounds &Bounds);
   /// Takes a question of a follower.
   void onQuestion(std::shared_ptr<http1::exchange> Exchange);
 
--- a/libs/gateway/include/gentianlug/gateway/mesh_store.h
+++ b/libs/gateway/include/gentianlug/gateway/mesh_store.h
@@ -3,9 +3,11 @@
 
 #include "gentianlug/mesh/version_policy.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -27,6 +29,13 @@
   virtual void onContact(bool Current) = 0;
 };
 
+/// How often a relay asks the store whether it still answers.
+struct store_pulse {
+  std::chrono::milliseconds Period{0};
+  /// Time without an answer after which the store is lost.
+  std::chrono::milliseconds Timeout{0};
+};
+
 /// What lasts: the only place that outlives all processes.
 class mesh_store {
 public:
@@ -45,7 +54,7 @@
   virtual void probe(std::function<void(bool Reached)> Done) = 0;
   /// Asks the store often whether it still answers, so that its loss shows
   /// within a second.
-  virtual void setPulse(bool Pulse) = 0;
+  virtual void setPulse(const std::optional<store_pulse> &Pulse) = 0;
   /// Stores the record of this node's server. Repeats the write until it has
   /// succeeded or a later record takes its place; \p Done runs at success.
   virtual void publishServer(const mesh::server_record &Record,
--- a/libs/gateway/src/feed_codec.cpp
+++ b/libs/gateway/src/feed_codec.cpp
@@ -48,17 +48,14 @@
 }
 
 static json encode(const mesh::service &Service) {
-  return {Service.Name.str(), Service.HealthPath, Service.MaxConnections,
-          Service.WarmUp.count(), Service.ColdCallsPerSecond};
+  return {Service.Name.str(), Service.HealthPath, Service.ColdCallsPerSecond};
 }
 
 static mesh::service decodeService(const json &Value) {
   mesh::service Service;
   Service.Name = service_name(Value.at(0).get<std::string>());
   Service.HealthPath = Value.at(1);
-  Service.MaxConnections = Value.at(2);
-  Service.WarmUp = std::chrono::milliseconds(Value.at(3).get<std::int64_t>());
-  Service.ColdCallsPerSecond = Value.at(4);
+  Service.ColdCallsPerSecond = Value.at(2);
   return Service;
 }
 
--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -8,11 +8,9 @@
 
 using observe::event;
 
-/// How long a relay holds a question while nothing changes.
-static constexpr std::chrono::milliseconds HoldTime{1000};
-/// Time beyond that until the relay counts as lost.
-static constexpr std::chrono::milliseconds AnswerTime{500};
-static constexpr std::chrono::milliseconds HoldCheckPeriod{250};
+/// How often a relay looks for questions whose time is over, in parts of that
+/// time.
+static constexpr int HoldChecks = 4;
 /// Pause before a node that watches the store itself looks for a relay again.
 static constexpr std::chrono::milliseconds FollowRetry{2000};
 /// Pause between two steps of a search.
@@ -58,6 +56,7 @@
   std::vector<held_question> Held;
   feed_source Source = feed_source::Search;
   mesh::relay_search Search;
+  mesh::feed_times Times;
   bool Relaying = false;
   /// Whether the store, which is watched, has shown all that it holds (true) or
   /// was lost (false).
@@ -96,6 +95,13 @@
 
   // The side of a relay.
 
+  void setPulse() {
+    if (Relaying)
+      Store.setPulse(store_pulse{Times.PulsePeriod, Times.PulseTimeout});
+    else
+      Store.setPulse(std::nullopt);
+  }
+
   void decideRole() {
     auto Order = order();
     bool Next = !Order.empty() && Order.front().Node == Place.Node;
@@ -104,11 +110,11 @@
     Relaying = Next;
     Context.Log.write(Next ? event::RelayGained : event::RelayLost,
                       {{"zone", Place.Zone.str()}});
-    Store.setPulse(Relaying);
+    setPulse();
     if (Relaying) {
       if (Source != feed_source::Store)
         watchStore("is relay itself");
-      HoldTimer.startEvery(HoldCheckPeriod);
+      HoldTimer.startEvery(Times.Hold / HoldChecks);
     } else {
       HoldTimer.cancel();
       refuseHeld(NoRelay);
@@ -131,7 +137,7 @@
     // A new relay knows in a moment whether it knows all changes.
     if (!Contact || !complete() || !answer(*Exchange, *At))
       Held.push_back(
-          {std::move(Exchange), *At, Context.Clock.steadyNow() + HoldTime});
+          {std::move(Exchange), *At, Context.Clock.steadyNow() + Times.Hold});
   }
 
   bool answer(http1::exchange &Exchange, const feed_cursor &At) {
@@ -185,8 +191,8 @@
 
   void search(const std::vector<mesh::server_record> &Order) {
     PollTimer.startOnce(drawJitter(Context.Gen, SearchPause));
-    switch (
-        mesh::nextStep(Search, Order, Place.Node, Context.Clock.steadyNow())) {
+    switch (mesh::nextStep(Search, Times, Order, Place.Node,
+                           Context.Clock.steadyNow())) {
     case mesh::search_step::Read:
       return Store.readServers();
     case mesh::search_step::Ask:
@@ -215,7 +221,7 @@
                         LimitTimer.cancel();
                         onAnswer(Result);
                       });
-    LimitTimer.startOnce(HoldTime + AnswerTime);
+    LimitTimer.startOnce(Times.Hold + Times.Answer);
   }
 
   void onSilence() {
@@ -379,7 +385,7 @@
       Search = {Now, true, Servers->empty(), false};
     Search.Refused = false;
     // A read here would follow upon each read without a pause.
-    if (mesh::nextStep(Search, order(), Place.Node, Now) !=
+    if (mesh::nextStep(Search, Times, order(), Place.Node, Now) !=
         mesh::search_step::Read)
       return poll();
     if (First)
@@ -399,6 +405,11 @@
 
 feed_task::~feed_task() = default;
 
+void feed_task::onBounds(const mesh::mesh_bounds &Bounds) {
+  Impl->Times = mesh::feedTimes(Bounds.ConfigTime);
+  Impl->setPulse();
+}
+
 void feed_task::start() { Impl->Store.start(*this); }
 
 void feed_task::onQuestion(std::shared_ptr<http1::exchange> Exchange) {
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -72,6 +72,7 @@
         FlushTimer(Context.Loop, [this] { this->Context.Log.flush(); }) {
     Entry.onLocalService(Settings.LocalService);
     Rollouts.onBounds(Settings.Bounds);
+    Feed.onBounds(Settings.Bounds);
     Rollouts.onCutChanged([this] { updateGate(); });
     Serving.onEvidence([this](const rollout::server_evidence &Evidence) {
       Rollouts.onEvidence(Evidence);
@@ -306,6 +307,7 @@
 void gateway_node::reload(const gateway_settings &Settings) {
   Impl->Settings.Bounds = Settings.Bounds;
   Impl->Rollouts.onBounds(Settings.Bounds);
+  Impl->Feed.onBounds(Settings.Bounds);
   if (!Impl->Local)
     Impl->Entry.onLocalService(Settings.LocalService);
 }
--- a/libs/gateway/tests/feed_task_test.cpp
+++ b/libs/gateway/tests/feed_task_test.cpp
@@ -63,7 +63,7 @@
     ++Probes;
     Done(Reached);
   }
-  void setPulse(bool) override {}
+  void setPulse(const std::optional<store_pulse> &) override {}
   void publishServer(const mesh::server_record &,
                      std::function<void()>) override {}
   bool publishing() const override { return false; }
--- a/libs/mesh/include/gentianlug/mesh/model.h
+++ b/libs/mesh/include/gentianlug/mesh/model.h
@@ -49,9 +49,6 @@
 struct service {
   service_name Name;
   std::string HealthPath;
-  std::uint32_t MaxConnections = 0;
-  /// How long a started server stays cold.
-  std::chrono::milliseconds WarmUp{0};
   /// Calls a second that a cold server bears.
   double ColdCallsPerSecond = 0;
 };
@@ -124,16 +121,12 @@
 
 /// Bounds that hold over all nodes, from the settings.
 struct mesh_bounds {
-  /// Repeats per call, and repeats beside them, in any `RepeatWindow`.
+  /// Repeats per call, and repeats beside them.
   double RepeatRatio = 0.2;
   double RepeatSlack = 60;
-  std::chrono::milliseconds RepeatWindow{10000};
   /// Share of the calls of a service that a new version may get before it is
-  /// known to be good, and calls beside it.
+  /// known to be good.
   double ExposedShare = 0.1;
-  double ExposedSlack = 50;
-  /// Time from the acknowledged draining of a server to its last new call.
-  std::chrono::milliseconds DrainTime{2000};
   /// Time from the first signal to stop to the end of the process.
   std::chrono::milliseconds StopGrace{6000};
   /// Time from the acknowledgement of a configuration to its use.
--- a/libs/mesh/include/gentianlug/mesh/relay_order.h
+++ b/libs/mesh/include/gentianlug/mesh/relay_order.h
@@ -19,6 +19,24 @@
                                       const zone_name &Zone,
                                       const node_id &Self);
 
+/// How long the steps from a loss to the next change may take. They follow from
+/// the time within which configurations have to be in force.
+struct feed_times {
+  /// A relay holds a question for this time while nothing changes ...
+  std::chrono::milliseconds Hold{1000};
+  /// ... and counts as silent after this time beyond it.
+  std::chrono::milliseconds Answer{500};
+  /// How long a node looks for the next relay when it has lost one.
+  std::chrono::milliseconds Handover{700};
+  /// A relay asks the store this often whether it still answers ...
+  std::chrono::milliseconds PulsePeriod{600};
+  /// ... and has lost it after this time without an answer.
+  std::chrono::milliseconds PulseTimeout{500};
+};
+
+/// Returns the times for \p ConfigTime, the longest ones from 2 s on.
+feed_times feedTimes(std::chrono::milliseconds ConfigTime);
+
 /// A node that hears of no changes, and since when it looks for its relay.
 struct relay_search {
   steady_time Since;
@@ -43,7 +61,7 @@
 ///
 /// The limits of the search lie below the times within which changes have to be
 /// in force: a node that finds no relay watches the store in time.
-search_step nextStep(const relay_search &Search,
+search_step nextStep(const relay_search &Search, const feed_times &Times,
                      const std::vector<server_record> &Order,
                      const node_id &Self, steady_time Now);
 
--- a/libs/mesh/src/relay_order.cpp
+++ b/libs/mesh/src/relay_order.cpp
@@ -8,8 +8,6 @@
 
 /// How long a node that has just started looks for its relay.
 static constexpr std::chrono::milliseconds StartSearch{2000};
-/// How long a node looks for the next relay when it has lost one.
-static constexpr std::chrono::milliseconds HandoverSearch{700};
 /// While all nodes start, the first node that is known is seldom the relay in
 /// the end.
 static constexpr std::chrono::milliseconds RelaySettle{1200};
@@ -38,11 +36,26 @@
   return Order;
 }
 
-search_step nextStep(const relay_search &Search,
+feed_times feedTimes(std::chrono::milliseconds ConfigTime) {
+  // The longest times add up to less than this one.
+  constexpr std::chrono::milliseconds Whole{2000};
+  constexpr std::chrono::milliseconds Least{200};
+  double Part =
+      double(std::clamp(ConfigTime, Least, Whole).count()) / Whole.count();
+  feed_times Times;
+  for (std::chrono::milliseconds *Each :
+       {&Times.Hold, &Times.Answer, &Times.Handover, &Times.PulsePeriod,
+        &Times.PulseTimeout})
+    *Each =
+        std::chrono::milliseconds(std::int64_t(double(Each->count()) * Part));
+  return Times;
+}
+
+search_step nextStep(const relay_search &Search, const feed_times &Times,
                      const std::vector<server_record> &Order,
                      const node_id &Self, steady_time Now) {
   auto Looking = Now - Search.Since;
-  if (Looking >= (Search.AtStart ? StartSearch : HandoverSearch))
+  if (Looking >= (Search.AtStart ? StartSearch : Times.Handover))
     return search_step::Watch;
   if (Order.empty())
     return Search.AtStart ? search_step::Read : search_step::Watch;
--- a/libs/mesh/tests/relay_order_test.cpp
+++ b/libs/mesh/tests/relay_order_test.cpp
@@ -58,6 +58,7 @@
 TEST_GROUP(RelaySearch) {
   std::vector<server_record> Order;
   relay_search Search;
+  feed_times Times = feedTimes(2500ms);
   steady_time Start{std::chrono::seconds(100)};
 
   void setup() override { Search.Since = Start; }
@@ -67,7 +68,8 @@
     Order.push_back(Record);
   }
   bool next(search_step Step, std::chrono::milliseconds After) {
-    return nextStep(Search, Order, node_id("self"), Start + After) == Step;
+    return nextStep(Search, Times, Order, node_id("self"), Start + After) ==
+           Step;
   }
 };
 
@@ -104,6 +106,19 @@
   CHECK(next(search_step::Watch, 700ms));
 }
 
+// Guards against times that are fit for one deployment only.
+TEST(RelaySearch, TimesFollowTheTimeOfConfigurations) {
+  for (auto ConfigTime : {400ms, 1000ms, 2000ms, 9000ms}) {
+    feed_times Next = feedTimes(ConfigTime);
+    CHECK(Next.Hold + Next.Answer < ConfigTime);
+    CHECK(Next.PulsePeriod + Next.PulseTimeout + Next.Handover < ConfigTime);
+  }
+  CHECK(feedTimes(9000ms).Hold == feedTimes(2000ms).Hold);
+  Times = feedTimes(1000ms);
+  knows("strong");
+  CHECK(next(search_step::Watch, 350ms));
+}
+
 TEST(RelaySearch, RestartedRelayWatchesAtOnce) {
   knows("self");
   Search.AtStart = true;
--- a/libs/operator/src/request_story.cpp
+++ b/libs/operator/src/request_story.cpp
@@ -73,11 +73,12 @@
 static std::string fieldsText(const json &Fields) {
   std::string Text;
   for (const auto &[Name, Value] : Fields.items()) {
-    if (Name == "time_ms" || Name == "node" || Name == "event" ||
-        Name == "name" || Name == "call")
+    std::string Told = textOf(Fields, Name.c_str());
+    if (Told.empty() || Name == "time_ms" || Name == "node" ||
+        Name == "event" || Name == "name" || Name == "call")
       continue;
     Text += Text.empty() ? "" : ", ";
-    Text += Name + " " + textOf(Fields, Name.c_str());
+    Text += Name + " " + Told;
   }
   return Text;
 }
@@ -159,10 +160,11 @@
   auto Last = Own.back()->Time;
   auto TellLine = [&](const log_line &Line) {
     std::string Call = textOf(Line.Fields, "call");
+    std::string Fields = fieldsText(Line.Fields);
     Sentences.push_back("  " + std::to_string((Line.Time - First).count()) +
                         " ms  " + Line.Node + "  " + Line.Name +
                         (Call == Id || Call.empty() ? "" : " of call " + Call) +
-                        ": " + fieldsText(Line.Fields));
+                        (Fields.empty() ? "" : ": " + Fields));
   };
   Sentences.push_back("Request " + Id + ", by the clocks of its nodes:");
   for (const log_line *Line : Own)
--- a/libs/store/include/gentianlug/store/store_errc.h
+++ b/libs/store/include/gentianlug/store/store_errc.h
@@ -1,5 +1,5 @@
-#ifndef GENTIANLUG_STORE_PLATFORM_ERRC_H
-#define GENTIANLUG_STORE_PLATFORM_ERRC_H
+#ifndef GENTIANLUG_STORE_STORE_ERRC_H
+#define GENTIANLUG_STORE_STORE_ERRC_H
 
 #include <system_error>
 
@@ -30,4 +30,4 @@
 struct std::is_error_code_enum<gentianlug::store::store_errc> : std::true_type {
 };
 
-#endif // GENTIANLUG_STORE_PLATFORM_ERRC_H
+#endif // GENTIANLUG_STORE_STORE_ERRC_H
