--- a/libs/operator/src/request_story.cpp
+++ b/libs/operator/src/request_story.cpp
@@ -78,7 +78,7 @@
         Name == "event" || Name == "name" || Name == "call")
       continue;
     Text += Text.empty() ? "" : ", ";
-    Text += Name + " " + Told;
+    Text.append(Name).append(" ").append(Told);
   }
   return Text;
 }
