Find the store again within three seconds of its return

Ruled out: its relay, which was still away. Change: probes after 0.6 to 1.2 s, and half of the search after an outage; both shrink with the configuration time.

--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -15,9 +15,6 @@
 static constexpr std::chrono::milliseconds FollowRetry{2000};
 /// Pause between two steps of a search.
 static constexpr std::chrono::milliseconds SearchPause{250};
-/// Pause between two questions to the store while it is away for this node and
-/// for its relay; each is priced in full then. The relay is asked meanwhile.
-static constexpr std::chrono::milliseconds AwayProbePause{2000};
 static constexpr std::chrono::milliseconds RelayConnectTimeout{300};
 static constexpr std::chrono::milliseconds RelayIdle{20000};
 /// Questions that a relay holds; further ones are refused.
@@ -272,8 +269,8 @@
       if (Source != feed_source::Search)
         return;
       if (!Reached) {
-        NextProbe = Context.Clock.steadyNow() + AwayProbePause / 2 +
-                    drawJitter(Context.Gen, AwayProbePause);
+        NextProbe = Context.Clock.steadyNow() + Times.AwayProbe / 2 +
+                    drawJitter(Context.Gen, Times.AwayProbe / 2);
         if (!std::exchange(StoreAway, true))
           Node.onContact(false);
         return;
@@ -282,7 +279,7 @@
       // that alone has lost it does not.
       if (!std::exchange(StoreAway, false))
         return watchStore("relay has lost the store");
-      Search.Since = Context.Clock.steadyNow();
+      Search.Since = Context.Clock.steadyNow() - Times.Handover / 2;
     });
   }
 
--- a/libs/gateway/tests/feed_task_test.cpp
+++ b/libs/gateway/tests/feed_task_test.cpp
@@ -257,6 +257,36 @@
   LONGS_EQUAL(0, Follower.Store.WatchStarts);
 }
 
+// Guards against a follower that takes longer than three seconds to hear of
+// changes again when the store is back for it, and not for its relay.
+TEST(FeedTask, FollowersFindTheStoreAgainInTime) {
+  constexpr int Followers = 12;
+  feeding_node &Relay = add("relay", 200);
+  for (int Index = 0; Index < Followers; ++Index)
+    add("f" + std::to_string(Index), 10);
+  startAll();
+  awaitVersion(2);
+  for (auto &Each : Nodes)
+    Each->Store.lose();
+  runUntil(Loop, [&] {
+    return std::all_of(Nodes.begin() + 1, Nodes.end(), [](const auto &Each) {
+      return Each->Store.Probes >= 2;
+    });
+  });
+  Content.Version = 3;
+  for (auto &Each : Nodes)
+    if (Each.get() != &Relay)
+      Each->Store.regain();
+  auto Start = std::chrono::steady_clock::now();
+  runUntil(Loop, [&] {
+    return std::all_of(Nodes.begin() + 1, Nodes.end(), [](const auto &Each) {
+      return Each->Node.Version == 3;
+    });
+  });
+  CHECK(std::chrono::steady_clock::now() - Start <
+        std::chrono::milliseconds(2500));
+}
+
 // Guards against followers that refuse to trust a new relay because it needs a
 // moment to read everything.
 TEST(FeedTask, NewRelaysHoldQuestionsUntilTheyAreCurrent) {
--- a/libs/mesh/src/relay_order.cpp
+++ b/libs/mesh/src/relay_order.cpp
@@ -44,8 +44,8 @@
       double(std::clamp(ConfigTime, Least, Whole).count()) / Whole.count();
   feed_times Times;
   for (std::chrono::milliseconds *Each :
-       {&Times.Hold, &Times.Answer, &Times.Handover, &Times.PulsePeriod,
-        &Times.PulseTimeout})
+       {&Times.Hold, &Times.Answer, &Times.Handover, &Times.AwayProbe,
+        &Times.PulsePeriod, &Times.PulseTimeout})
     *Each =
         std::chrono::milliseconds(std::int64_t(double(Each->count()) * Part));
   return Times;
