--- a/libs/gateway/include/gentianlug/gateway/feed_task.h
+++ b/libs/gateway/include/gentianlug/gateway/feed_task.h
@@ -13,9 +13,10 @@
 /// Brings what the store holds to this node, at few calls to the store.
 ///
 /// One node of each group watches the store and relays its changes; the others
-/// ask it and wait. A relay that loses the store says so at once. A follower
-/// whose relay fails watches the store itself until a relay answers again, so
-/// nobody depends on a relay for longer than one question.
+/// ask it and wait. A node that starts, or loses its relay, looks for the next
+/// one for a bounded time and then watches the store itself until a relay
+/// answers. A relay that loses the store says so at once; its followers watch
+/// the store if they reach it, else they ask the relay and the store in turns.
 class feed_task final : public mesh_watcher {
 public:
   feed_task(task_context Context, node_place Place, mesh_store &Store,
