--- a/libs/mesh/include/gentianlug/mesh/relay_order.h
+++ b/libs/mesh/include/gentianlug/mesh/relay_order.h
@@ -28,9 +28,9 @@
   std::chrono::milliseconds Answer{500};
   /// How long a node looks for the next relay when it has lost one.
   std::chrono::milliseconds Handover{700};
-  /// The longest pause between two questions to the store while it is away for a
-  /// node and for its relay. Each is priced in full then, and a node has to know
-  /// all changes three seconds after the store is back.
+  /// The longest pause between two questions to the store while it is away for
+  /// a node and for its relay. Each is priced in full then, and a node has to
+  /// know all changes three seconds after the store is back.
   std::chrono::milliseconds AwayProbe{1200};
   /// A relay asks the store this often whether it still answers ...
   std::chrono::milliseconds PulsePeriod{600};
