Bound the wait for the own zone, and the lines of a story

Cause: reading the change once more. The wait for a server of the own zone grew with the target latency without a limit, and so did the number of nodes asked; a story kept any number of lines of its request. Change: the wait ends after 0.5 s at the latest; a story keeps 200,000 lines of each kind.

--- a/libs/gateway/src/entry_call.cpp
+++ b/libs/gateway/src/entry_call.cpp
@@ -17,8 +17,9 @@
 /// Answers of this size wait for a server of the own zone: most are refused
 /// only until a narrow link has sent the answer before ...
 static constexpr std::size_t ZoneAnswerBytes = 32UL << 10;
-/// ... for this part of the target latency.
+/// ... for this part of the target latency, and no longer than this.
 static constexpr double ZoneWaitPart = 0.25;
+static constexpr std::chrono::milliseconds LongestZoneWait{500};
 static constexpr std::chrono::milliseconds ZoneWaitPause{60};
 /// A repeat needs this part of the target latency as time left.
 static constexpr double RepeatPart = 0.25;
@@ -102,7 +103,8 @@
 
 bool entry_call::staysInZone(const mesh::pick_request &Request) const {
   return Request.ExpectedBytes >= ZoneAnswerBytes && Arrivals == 0 &&
-         age() < part(Plan.TargetLatency, ZoneWaitPart) &&
+         age() < std::min(part(Plan.TargetLatency, ZoneWaitPart),
+                          LongestZoneWait) &&
          Entry.Picker.servesInZone(Request);
 }
 
--- a/libs/operator/include/gentianlug/operator/request_story.h
+++ b/libs/operator/include/gentianlug/operator/request_story.h
@@ -31,8 +31,9 @@
   std::vector<std::string> tell() const;
 
 private:
-  /// Lines about nodes and servers that are kept; further ones are left out.
-  static constexpr std::size_t MaxOtherLines = 200000;
+  /// Lines of the request, and lines about nodes and servers, that are kept;
+  /// further ones are left out.
+  static constexpr std::size_t MaxLines = 200000;
 
   struct log_line {
     std::chrono::milliseconds Time{0};
--- a/libs/operator/src/request_story.cpp
+++ b/libs/operator/src/request_story.cpp
@@ -100,10 +100,12 @@
   std::string Call = textOf(Fields, "call");
   Line.Fields = std::move(Fields);
   // Calls that a server makes for the request begin with its id.
-  if (Call == Id || Call.starts_with(Id + "."))
-    OfRequest.push_back(std::move(Line));
-  else if (Call.empty() && Others.size() < MaxOtherLines)
-    Others.push_back(std::move(Line));
+  bool Own = Call == Id || Call.starts_with(Id + ".");
+  if (!Own && !Call.empty())
+    return;
+  std::vector<log_line> &Lines = Own ? OfRequest : Others;
+  if (Lines.size() < MaxLines)
+    Lines.push_back(std::move(Line));
 }
 
 const request_story::log_line *request_story::ending() const {
