--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/gateway/feed_task.h"
 
+#include "gentianlug/core/weak_callback.h"
 #include "gentianlug/http1/client_pool.h"
 #include "gentianlug/mesh/relay_selection.h"
 #include "gentianlug/net/timer.h"
@@ -39,7 +40,7 @@
 
 } // namespace
 
-struct feed_task::impl {
+struct feed_task::impl : std::enable_shared_from_this<feed_task::impl> {
   task_context Context;
   node_location Location;
   mesh_store &Store;
@@ -264,25 +265,28 @@
   }
 
   void probeStore() {
-    Probing = true;
-    Store.probe([this](bool Reached) {
-      Probing = false;
-      if (Source != feed_source::Search)
-        return;
-      if (!Reached) {
-        NextProbe = Context.Clock.steadyNow() + Times.StoreProbeInterval / 2 +
-                    drawJitter(Context.Gen, Times.StoreProbeInterval / 2);
-        if (!std::exchange(StoreUnreachable, true))
-          Node.onSyncState(false);
-        return;
-      }
-      // If the store was unreachable for this node too, the relay probably
-      // reconnects within a moment, so the search gets half the usual time.
-      // If only the relay has lost the store, waiting for it is useless.
-      if (!std::exchange(StoreUnreachable, false))
-        return watchStore("relay has lost the store");
-      Search.StartedAt = Context.Clock.steadyNow() - Times.SearchTimeout / 2;
-    });
+    if (std::exchange(Probing, true))
+      return;
+    Store.probe(bindWeakly(shared_from_this(), &impl::onStoreProbed));
+  }
+
+  void onStoreProbed(bool Reached) {
+    Probing = false;
+    if (Source != feed_source::Search)
+      return;
+    if (!Reached) {
+      NextProbe = Context.Clock.steadyNow() + Times.StoreProbeInterval / 2 +
+                  drawJitter(Context.Gen, Times.StoreProbeInterval / 2);
+      if (!std::exchange(StoreUnreachable, true))
+        Node.onSyncState(false);
+      return;
+    }
+    // If the store was unreachable for this node too, the relay probably
+    // reconnects within a moment, so the search gets half the usual time.
+    // If only the relay has lost the store, waiting for it is useless.
+    if (!std::exchange(StoreUnreachable, false))
+      return watchStore("relay has lost the store");
+    Search.StartedAt = Context.Clock.steadyNow() - Times.SearchTimeout / 2;
   }
 
   void attachToRelay() {
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/gateway/gateway_node.h"
 
+#include "gentianlug/core/weak_callback.h"
 #include "gentianlug/gateway/feed_task.h"
 #include "gentianlug/mesh/server_lifecycle.h"
 #include "gentianlug/net/timer.h"
@@ -29,7 +30,7 @@
   return Location.LinkMbps * BytesPerMegabit;
 }
 
-struct gateway_node::impl {
+struct gateway_node::impl : std::enable_shared_from_this<gateway_node::impl> {
   task_context Context;
   gateway_settings Settings;
   mesh_store &Store;
@@ -180,8 +181,11 @@
     if (Rollout && Rollout->TargetVersion == Server->Version)
       return;
     BaseVersionWritePending = true;
-    Store.publishBaseVersion(Server->Service, Server->Version, false,
-                             [this](bool) { BaseVersionWritePending = false; });
+    Store.publishBaseVersion(
+        Server->Service, Server->Version, false,
+        bindWeakly(shared_from_this(), [](impl &Self, bool) {
+          Self.BaseVersionWritePending = false;
+        }));
   }
 
   void onServerChanged(const char *Reason) {
--- a/libs/gateway/src/rollout_task.cpp
+++ b/libs/gateway/src/rollout_task.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/gateway/rollout_task.h"
 
+#include "gentianlug/core/weak_callback.h"
 #include "gentianlug/http1/client_pool.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/wire/rollout_values.h"
@@ -21,7 +22,26 @@
 static constexpr double MinQuarantineErrorShare = 0.25;
 static constexpr std::chrono::milliseconds EvidenceConnectTimeout{300};
 
-struct rollout_task::impl {
+namespace {
+
+/// A rollout that this node observes, and controls if the record names it.
+///
+/// Dropped when the server leaves, when the rollout ends and when its target
+/// changes. Answers of the store that arrive later have no effect.
+struct observed_rollout {
+  observed_rollout(const mesh::rollout_record &Record,
+                   const version_name &OldVersion,
+                   std::vector<route_name> Routes,
+                   const mesh::mesh_bounds &Bounds, steady_time Now)
+      : Controller(Record, OldVersion, std::move(Routes), Bounds, Now) {}
+
+  mesh::rollout_controller Controller;
+  bool WritePending = false;
+};
+
+} // namespace
+
+struct rollout_task::impl : std::enable_shared_from_this<rollout_task::impl> {
   task_context Context;
   node_id Node;
   address NodeAddress;
@@ -32,11 +52,10 @@
   std::vector<mesh::server_record> Servers;
   mesh::version_policy Versions;
   std::optional<local_server> Server;
-  std::unique_ptr<mesh::rollout_controller> Controller;
+  std::shared_ptr<observed_rollout> Rollout;
   http1::client_pool Peers;
   net::timer EvaluationTimer;
   bool Evaluating = false;
-  bool WritePending = false;
   bool EvidencePending = false;
   bool Quarantined = false;
   std::function<void()> QuarantineHandler;
@@ -66,7 +85,7 @@
   void trackRollout() {
     const mesh::rollout_record *Record = activeRollout();
     if (!Record) {
-      Controller.reset();
+      Rollout.reset();
       TrackedTarget = {};
       if (Evaluating)
         EvaluationTimer.cancel();
@@ -76,7 +95,7 @@
     }
     if (TrackedTarget != Record->TargetVersion) {
       TrackedTarget = Record->TargetVersion;
-      Controller.reset();
+      Rollout.reset();
       LocalCalls = LocalErrors = 0;
       setQuarantined(false);
       // Discard the counts from before this rollout; they are no evidence for
@@ -84,11 +103,11 @@
       (void)Serving.takeEvidence();
     }
     auto Now = Context.Clock.steadyNow();
-    if (Controller) {
-      Controller->onRecord(*Record, Now);
+    if (Rollout) {
+      Rollout->Controller.onRecord(*Record, Now);
     } else if (const version_name *Base =
                    Versions.baseVersion(Server->Service)) {
-      Controller = std::make_unique<mesh::rollout_controller>(
+      Rollout = std::make_shared<observed_rollout>(
           *Record, *Base, serviceRoutes(), Bounds, Now);
       LastControllerContact = Now;
     }
@@ -138,14 +157,14 @@
 
   void evaluate() {
     const mesh::rollout_record *Record = activeRollout();
-    if (!Record || !Controller)
+    if (!Record || !Rollout)
       return;
     rollout::server_evidence Evidence = Serving.takeEvidence();
     Evidence.Node = Node;
     evaluateLocalServer(Evidence, *Record);
     if (Record->Controller == Node) {
-      Controller->onEvidence(Evidence);
-      Controller->evaluate();
+      Rollout->Controller.onEvidence(Evidence);
+      Rollout->Controller.evaluate();
       return advanceRollout();
     }
     if (!Record->Controller.empty())
@@ -213,43 +232,50 @@
   }
 
   void advanceRollout() {
-    if (WritePending)
+    if (Rollout->WritePending)
       return;
+    const mesh::rollout_controller &Controller = Rollout->Controller;
     std::size_t NewServers = 0;
     for (const mesh::server_record &Each : Servers)
       if (Each.Service == Server->Service &&
-          Each.Version == Controller->record().TargetVersion &&
+          Each.Version == Controller.record().TargetVersion &&
           Each.State == mesh::server_state::Ready)
         ++NewServers;
     auto Now = Context.Clock.steadyNow();
-    auto Next = Controller->nextRecord({NewServers, maxCallTimeout()}, Now);
-    bool TakeOver = !Controller->record().Controller.empty() &&
-                    Controller->record().Controller != Node;
+    auto Next = Controller.nextRecord({NewServers, maxCallTimeout()}, Now);
+    bool TakeOver = !Controller.record().Controller.empty() &&
+                    Controller.record().Controller != Node;
     if (!Next && TakeOver)
-      Next = Controller->record();
+      Next = Controller.record();
     if (!Next)
       return;
     Next->Controller = Node;
     Next->ControllerAddress = NodeAddress;
-    WritePending = true;
+    Rollout->WritePending = true;
     if (Next->Stage != mesh::rollout_stage::Completed)
       return writeRecord(*Next);
     // The base version is written first, so that a node that no longer sees the
-    // running rollout already knows the new base version.
-    Store.publishBaseVersion(Next->Service, Next->TargetVersion, true,
-                             [this, Record = *Next](bool Stored) {
-                               if (Stored)
-                                 return writeRecord(Record);
-                               WritePending = false;
-                             });
+    // running rollout already knows the new base version. If this node stops
+    // observing the rollout in between, the next controller completes it.
+    Store.publishBaseVersion(
+        Next->Service, Next->TargetVersion, true,
+        bindWeakly(Rollout, [this, Record = *Next](observed_rollout &Observed,
+                                                   bool Stored) {
+          if (Stored)
+            return writeRecord(Record);
+          Observed.WritePending = false;
+        }));
   }
 
   void writeRecord(const mesh::rollout_record &Record) {
-    mesh::version_counts Old = Controller->oldCounts();
-    mesh::version_counts New = Controller->newCounts();
-    Store.writeRollout(Record, [this, Record, Old, New](bool Written) {
-      WritePending = false;
-      Context.Log.write(
+    mesh::version_counts Old = Rollout->Controller.oldCounts();
+    mesh::version_counts New = Rollout->Controller.newCounts();
+    // The step is logged also if the write has ended the observation.
+    auto OnWritten = [Record, Old, New, Observed = std::weak_ptr(Rollout)](
+                         impl &Self, bool Written) {
+      if (auto Current = Observed.lock())
+        Current->WritePending = false;
+      Self.Context.Log.write(
           event::RolloutStep,
           {{"service", Record.Service.str()},
            {"version", Record.TargetVersion.str()},
@@ -262,7 +288,8 @@
            {"new_calls", std::int64_t(New.Calls)},
            {"new_errors", std::int64_t(New.Errors)},
            {"written", Written ? 1 : 0}});
-    });
+    };
+    Store.writeRollout(Record, bindWeakly(shared_from_this(), OnWritten));
   }
 };
 
@@ -298,8 +325,8 @@
 }
 
 void rollout_task::onEvidence(const rollout::server_evidence &Evidence) {
-  if (Impl->Controller)
-    Impl->Controller->onEvidence(Evidence);
+  if (Impl->Rollout)
+    Impl->Rollout->Controller.onEvidence(Evidence);
 }
 
 bool rollout_task::isQuarantined() const { return Impl->Quarantined; }
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/gateway/serving_task.h"
 
+#include "gentianlug/core/weak_callback.h"
 #include "gentianlug/gateway/feed_task.h"
 #include "gentianlug/http1/client_pool.h"
 #include "gentianlug/net/timer.h"
@@ -103,14 +104,15 @@
       Exchange->respond(http1::makeStatusResponse(BadRequest));
       return;
     }
-    std::weak_ptr<http1::exchange> Weak = Exchange;
     ticket Ticket =
         enqueue(*Call, std::move(Exchange->receivedRequest()),
                 [Exchange](serving_result Result) {
                   Exchange->respond(encodeServingResult(std::move(Result)));
                 });
     Exchange->onClientDisconnect(
-        [this, Ticket] { cancel(Ticket, "caller-gone"); });
+        bindWeakly(shared_from_this(), [Ticket](impl &Self) {
+          Self.cancel(Ticket, "caller-gone");
+        }));
     advance();
   }
 
@@ -298,7 +300,7 @@
     Calls.erase(Found);
     Admission.removeQueued(Ticket);
     Admission.finish(Ticket, std::nullopt);
-    Context.Loop.defer([this] { advance(); });
+    Context.Loop.defer(bindWeakly(shared_from_this(), &impl::advance));
   }
 
   /// Stops sending calls to the server until a probe or announcement confirms
@@ -311,7 +313,7 @@
     Context.Log.write(
         event::ServerSilent,
         {{"instance", Server->Admission.Instance}, {"reason", Reason}});
-    Context.Loop.defer([this] { probe(); });
+    Context.Loop.defer(bindWeakly(shared_from_this(), &impl::probe));
   }
 
   void probe() {
--- a/libs/gateway/tests/feed_task_test.cpp
+++ b/libs/gateway/tests/feed_task_test.cpp
@@ -1,8 +1,7 @@
 #include "gentianlug/gateway/feed_task.h"
-#include "loop_fixture.h"
+#include "task_fixture.h"
 
 #include <algorithm>
-#include <fcntl.h>
 
 using namespace gentianlug;
 using namespace gentianlug::gateway;
@@ -11,43 +10,6 @@
 
 namespace {
 
-/// Call dialect for a context in which no calls are sent.
-class null_dialect final : public call_dialect {
-public:
-  call_parameters readCallParameters(const http1::request &) const override {
-    return {};
-  }
-  void writeServerCall(http1::request &, const server_call &) const override {}
-  response_class classifyResponse(const http1::response &) const override {
-    return response_class::Final;
-  }
-  void addLocalResponseHeaders(
-      http1::response &, const std::string &,
-      std::optional<std::chrono::milliseconds>) const override {}
-  const std::string &echoedHeader() const override { return Field; }
-  health_report readHealth(const http1::response &) const override {
-    return {};
-  }
-
-private:
-  std::string Field;
-};
-
-/// Clock that can be stopped, so that no relay search times out on a busy
-/// machine.
-class stoppable_clock final : public clock {
-public:
-  steady_time steadyNow() const override {
-    return StoppedAt ? *StoppedAt : Real.steadyNow();
-  }
-  wall_time wallNow() const override { return Real.wallNow(); }
-  void stop() { StoppedAt = Real.steadyNow(); }
-
-private:
-  boottime_clock Real;
-  std::optional<steady_time> StoppedAt;
-};
-
 /// Contents of the store that all nodes share.
 struct store_content {
   config_version Version = 1;
@@ -79,7 +41,10 @@
   }
   void probe(std::function<void(bool)> Done) override {
     ++Probes;
-    Done(Reachable);
+    if (HoldsProbes)
+      HeldProbe = std::move(Done);
+    else
+      Done(Reachable);
   }
   void setHealthCheck(const std::optional<store_health_check> &) override {}
   void publishServer(const mesh::server_record &,
@@ -125,6 +90,9 @@
   bool ReportsInSync = true;
   bool Reachable = true;
   int Probes = 0;
+  /// Whether probes get no answer until the test runs `HeldProbe`.
+  bool HoldsProbes = false;
+  std::function<void(bool)> HeldProbe;
 };
 
 class recording_watcher final : public mesh_watcher {
@@ -165,20 +133,13 @@
 } // namespace
 
 TEST_GROUP(FeedTask) {
-  net::event_loop Loop;
-  stoppable_clock Clock;
-  null_dialect Dialect;
-  observe::metric_set Metrics;
-  generator Gen{1};
-  int NullFd = open("/dev/null", O_WRONLY);
-  event_log Log{NullFd, "test"};
+  task_environment Environment;
+  net::event_loop &Loop = Environment.Loop;
+  test_clock &Clock = Environment.Clock;
   store_content Content;
   std::vector<std::unique_ptr<feed_node>> Nodes;
 
-  void teardown() override {
-    Nodes.clear();
-    close(NullFd);
-  }
+  void teardown() override { Nodes.clear(); }
   /// Adds a node; the node with the fastest link becomes the relay.
   feed_node &add(const std::string &Name, std::uint32_t LinkMbps) {
     mesh::server_record Record;
@@ -190,9 +151,8 @@
     node_location Location;
     Location.Node = Record.Node;
     Location.Zone = Record.Zone;
-    Nodes.push_back(std::make_unique<feed_node>(
-        task_context{Loop, Clock, Dialect, Log, Metrics, Gen}, Location,
-        Record.NodeAddress, Content));
+    Nodes.push_back(std::make_unique<feed_node>(Environment.context(), Location,
+                                                Record.NodeAddress, Content));
     return *Nodes.back();
   }
   void startAll() {
@@ -336,3 +296,41 @@
   awaitVersion(2);
   LONGS_EQUAL(1, Follower.Store.WatchStarts);
 }
+
+// Guards against a probe of the store that is answered after the task has
+// ended.
+TEST(FeedTask, ProbeIsAnsweredAfterTheTaskHasEnded) {
+  feed_node &Relay = add("relay", 200);
+  feed_node &Follower = add("follower", 10);
+  startAll();
+  awaitVersion(2);
+  Follower.Store.HoldsProbes = true;
+  Relay.Store.disconnect();
+  runUntil(Loop, [&] { return Follower.Store.Probes == 1; });
+  auto Answer = std::move(Follower.Store.HeldProbe);
+  Nodes.clear();
+  Answer(false);
+}
+
+// Guards against concurrent probes of one node, each of which the platform
+// charges.
+TEST(FeedTask, OneProbeAtATime) {
+  feed_node &Relay = add("relay", 200);
+  feed_node &Follower = add("follower", 10);
+  startAll();
+  awaitVersion(2);
+  Follower.Store.HoldsProbes = true;
+  Relay.Store.disconnect();
+  runUntil(Loop, [&] { return Follower.Store.Probes == 1; });
+  // The follower attaches again and loses its relay a second time, while the
+  // first probe is still unanswered.
+  Relay.Store.reconnect();
+  awaitVersion(3);
+  int Checks = 0;
+  constexpr int ChecksUntilNextPoll = 20;
+  runUntil(Loop, [&] { return ++Checks > ChecksUntilNextPoll; });
+  Relay.Store.disconnect();
+  Relay.Store.reconnect();
+  awaitVersion(4);
+  LONGS_EQUAL(1, Follower.Store.Probes);
+}
--- /dev/null
+++ b/libs/gateway/tests/rollout_task_test.cpp
@@ -0,0 +1,167 @@
+#include "gentianlug/gateway/rollout_task.h"
+#include "task_fixture.h"
+
+using namespace gentianlug;
+using namespace gentianlug::gateway;
+using namespace std::chrono_literals;
+using http1::runUntil;
+
+namespace {
+
+/// Store that keeps the callbacks of writes until the test runs them.
+class holding_store final : public mesh_store {
+public:
+  void start(mesh_watcher &) override {}
+  void readServers() override {}
+  void setWatching(bool) override {}
+  void probe(std::function<void(bool)>) override {}
+  void setHealthCheck(const std::optional<store_health_check> &) override {}
+  void publishServer(const mesh::server_record &,
+                     std::function<void()>) override {}
+  bool hasPendingPublish() const override { return false; }
+  void publishBaseVersion(const service_name &, const version_name &Version,
+                          bool, std::function<void(bool)> Done) override {
+    BaseVersion = Version;
+    BaseVersionWritten = std::move(Done);
+    ++BaseVersionWrites;
+  }
+  void writeRollout(const mesh::rollout_record &Record,
+                    std::function<void(bool)> Done) override {
+    RolloutWrites.push_back(Record);
+    RolloutWritten = std::move(Done);
+  }
+
+  version_name BaseVersion;
+  std::function<void(bool)> BaseVersionWritten;
+  int BaseVersionWrites = 0;
+  std::vector<mesh::rollout_record> RolloutWrites;
+  std::function<void(bool)> RolloutWritten;
+};
+
+} // namespace
+
+TEST_GROUP(RolloutTask) {
+  task_environment Environment;
+  holding_store Store;
+  http1::link_pacer Pacer{Environment.Loop, 0};
+  serving_task Serving{Environment.context(), 0, Pacer};
+  std::unique_ptr<rollout_task> Task =
+      std::make_unique<rollout_task>(Environment.context(), node_id("n1"),
+                                     address{"127.0.0.1", 1}, Store, Serving);
+
+  static mesh::rollout_record record(mesh::rollout_stage Stage) {
+    mesh::rollout_record Record;
+    Record.Service = service_name("s");
+    Record.TargetVersion = version_name("v2");
+    Record.Duration = 10s;
+    Record.Elapsed = 9500ms;
+    Record.Stage = Stage;
+    Record.TrafficShare = 1;
+    Record.Controller = node_id("n1");
+    Record.Revision = 5;
+    return Record;
+  }
+  void setRollout(const mesh::rollout_record &Record) {
+    mesh::version_policy Versions;
+    Versions.setBaseVersion(Record.Service, version_name("v1"));
+    Versions.setRollouts({Record});
+    Task->onVersions(Versions);
+  }
+  void setServer(bool Present) {
+    local_server Server;
+    Server.Service = service_name("s");
+    Server.Version = version_name("v2");
+    Task->onServer(Present ? std::optional(Server) : std::nullopt);
+  }
+  /// Brings the rollout to the point where the base version has been sent to
+  /// the store and the record of the completed rollout is to follow.
+  void startCompletion() {
+    setServer(true);
+    setRollout(record(mesh::rollout_stage::Switching));
+    Environment.Clock.advance(2s);
+    int Before = Store.BaseVersionWrites;
+    runUntil(Environment.Loop,
+             [&] { return Store.BaseVersionWrites > Before; });
+    CHECK(Store.BaseVersion == version_name("v2"));
+    CHECK(Store.RolloutWrites.empty());
+  }
+  /// Lets the task evaluate the rollout a few times.
+  void awaitEvaluations() {
+    constexpr int Evaluations = 3;
+    int Left = Evaluations;
+    net::timer Timer(Environment.Loop, [&] { --Left; });
+    Timer.startEvery(rollout::EvaluationPeriod);
+    runUntil(Environment.Loop, [&] { return Left <= 0; });
+  }
+};
+
+TEST(RolloutTask, CompletesAfterTheBaseVersionIsStored) {
+  startCompletion();
+  Store.BaseVersionWritten(true);
+  CHECK_EQUAL(1, Store.RolloutWrites.size());
+  CHECK(Store.RolloutWrites.front().Stage == mesh::rollout_stage::Completed);
+  setRollout(record(mesh::rollout_stage::Completed));
+  Store.RolloutWritten(true);
+}
+
+// Guards against the use of a controller that was dropped while the store had
+// not yet answered. A node without a server of the service no longer receives
+// evidence, so it must not complete the rollout either.
+TEST(RolloutTask, ServerThatLeavesDuringTheWriteEndsTheCompletion) {
+  for (bool Stored : {true, false}) {
+    startCompletion();
+    setServer(false);
+    Store.BaseVersionWritten(Stored);
+    CHECK(Store.RolloutWrites.empty());
+  }
+}
+
+// Guards against a second record after another node has completed the rollout.
+TEST(RolloutTask, RolloutCompletedElsewhereIsNotCompletedAgain) {
+  startCompletion();
+  setRollout(record(mesh::rollout_stage::Completed));
+  Store.BaseVersionWritten(true);
+  CHECK(Store.RolloutWrites.empty());
+}
+
+// Guards against a record of the previous target overwriting the next rollout.
+TEST(RolloutTask, RecordOfPreviousTargetIsNotWritten) {
+  startCompletion();
+  mesh::rollout_record Next = record(mesh::rollout_stage::Pending);
+  Next.TargetVersion = version_name("v3");
+  Next.Revision = 6;
+  setRollout(Next);
+  Store.BaseVersionWritten(true);
+  CHECK(Store.RolloutWrites.empty());
+}
+
+// Guards against callbacks that outlive the task.
+TEST(RolloutTask, StoreAnswersAfterTheTaskHasEnded) {
+  startCompletion();
+  Task.reset();
+  Store.BaseVersionWritten(true);
+  CHECK(Store.RolloutWrites.empty());
+}
+
+TEST(RolloutTask, RolloutWriteIsAnsweredAfterTheTaskHasEnded) {
+  startCompletion();
+  Store.BaseVersionWritten(true);
+  Task.reset();
+  Store.RolloutWritten(true);
+}
+
+// Guards against a rollout that stops for good because the answer to a write
+// of its previous controller never arrives.
+TEST(RolloutTask, UnansweredWriteDoesNotBlockTheNextController) {
+  startCompletion();
+  setServer(false);
+  startCompletion();
+  CHECK_EQUAL(2, Store.BaseVersionWrites);
+}
+
+// Guards against concurrent writes of one controller.
+TEST(RolloutTask, OneWriteAtATime) {
+  startCompletion();
+  awaitEvaluations();
+  CHECK_EQUAL(1, Store.BaseVersionWrites);
+}
