--- a/libs/gateway/include/gentianlug/gateway/feed_task.h
+++ b/libs/gateway/include/gentianlug/gateway/feed_task.h
@@ -9,17 +9,20 @@
 
 /// Path at which a relay accepts polls of its followers.
 inline constexpr const char *FeedPath = "/v1/feed";
+/// Path at which a node accepts polls of followers that cannot use their relay.
+inline constexpr const char *SubstituteFeedPath = "/v1/feed/substitute";
 
 /// Keeps this node up to date with the store while limiting the number of
 /// store requests.
 ///
 /// One node of each group, the relay, watches the store and forwards changes;
-/// the other nodes, its followers, long-poll the relay. A node that starts or
-/// loses its relay searches for the next one for a bounded time and then
-/// watches the store itself until a relay responds. A relay that loses its
-/// connection to the store rejects its followers immediately. They watch the
-/// store if it is reachable for them, and otherwise poll the relay and probe
-/// the store alternately.
+/// the other nodes, its followers, long-poll the relay. A relay that loses its
+/// connection to the store rejects its followers immediately. A follower that
+/// cannot use its relay asks the next candidates to substitute for it: a
+/// substitute watches the store as long as followers poll it. A node that finds
+/// neither within a bounded time watches the store itself until a relay
+/// responds. While the store is unreachable for all of them, followers poll the
+/// relay and probe the store alternately.
 class feed_task final : public mesh_watcher {
 public:
   feed_task(task_context Context, node_location Location, mesh_store &Store,
--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/gateway/feed_task.h"
 
+#include "follower_polls.h"
 #include "gentianlug/core/weak_callback.h"
 #include "gentianlug/http1/client_pool.h"
 #include "gentianlug/mesh/relay_selection.h"
@@ -17,27 +18,20 @@
 static constexpr std::chrono::milliseconds SearchStepDelay{250};
 static constexpr std::chrono::milliseconds RelayConnectTimeout{300};
 static constexpr std::chrono::milliseconds RelayIdleTimeout{20000};
-/// Maximum number of polls that a relay holds; it rejects further ones.
-static constexpr std::size_t MaxPendingPolls = 4 * mesh::NodesPerRelay;
-static constexpr int Ok = 200;
-static constexpr int NoContent = 204;
-static constexpr int BadRequest = 400;
-/// The node is not the relay, or no longer; the server list shows which one is.
-static constexpr int NotRelay = 410;
-/// The node is the relay but cannot tell whether it knows all changes.
-static constexpr int Unavailable = 503;
+/// Time for which a node that does not relay yet, or no longer, is avoided.
+static constexpr std::chrono::milliseconds NotRelayAvoidance{250};
+/// Shortest time for which a relay that has failed is avoided; up to twice as
+/// long, so that followers do not return at the same time.
+static constexpr std::chrono::milliseconds FailedRelayAvoidance{2000};
+/// A substitute without polls of followers for this time follows its relay
+/// again.
+static constexpr std::chrono::milliseconds SubstituteIdleTime{2000};
 
 namespace {
 
 /// Source from which a node receives changes.
 enum class feed_source { Search, Store, Relay };
 
-struct pending_poll {
-  std::shared_ptr<http1::exchange> Exchange;
-  feed_cursor Cursor;
-  steady_time Deadline;
-};
-
 } // namespace
 
 struct feed_task::impl : std::enable_shared_from_this<feed_task::impl> {
@@ -50,11 +44,15 @@
   net::timer PollTimer;
   net::timer PollTimeoutTimer;
   net::timer PollExpiryTimer;
-  std::vector<pending_poll> PendingPolls;
+  follower_polls FollowerPolls;
   feed_source Source = feed_source::Search;
   mesh::relay_search Search;
+  mesh::relay_failures RelayFailures;
   mesh::relay_timing Times;
   bool Relaying = false;
+  /// This node serves followers that cannot use their relay.
+  bool Substituting = false;
+  steady_time LastSubstitutePoll{};
   /// State of the store watch: true once everything has been read, false after
   /// the connection was lost, empty before either.
   std::optional<bool> StoreInSync;
@@ -63,6 +61,8 @@
   std::optional<http1::client_pool::ticket> ActivePoll;
   feed_cursor Cursor;
   node_id PolledRelay;
+  /// The relay that last served this node.
+  node_id AttachedRelay;
   std::shared_ptr<const mesh::mesh_configuration> Configuration;
   std::optional<std::vector<mesh::server_record>> Servers;
   control_state ControlState;
@@ -78,13 +78,18 @@
         Node(Node), History(drawHexId(Context.Gen)), Pool(Context.Loop, {}, {}),
         PollTimer(Context.Loop, [this] { poll(); }),
         PollTimeoutTimer(Context.Loop, [this] { onPollTimeout(); }),
-        PollExpiryTimer(Context.Loop, [this] { expirePendingPolls(); }) {}
+        PollExpiryTimer(Context.Loop, [this] { expireFollowerPolls(); }),
+        FollowerPolls(History) {}
 
   bool isComplete() const {
     return Configuration && Servers && BaseVersionsKnown && RolloutsKnown &&
            ZonesKnown;
   }
 
+  bool isStarting() const {
+    return Source == feed_source::Search && Search.ProcessStarting;
+  }
+
   std::vector<mesh::server_record> relayCandidates() const {
     return Servers ? mesh::rankRelays(*Servers, Location.Zone, Location.Node)
                    : std::vector<mesh::server_record>();
@@ -92,8 +97,13 @@
 
   // Relay side.
 
+  bool servesFollowers() const { return Relaying || Substituting; }
+
+  /// Returns whether the state of this node may be sent to followers.
+  bool canServe() const { return StoreInSync == true && isComplete(); }
+
   void updateHealthCheck() {
-    if (Relaying)
+    if (servesFollowers())
       Store.setHealthCheck(store_health_check{Times.HealthCheckInterval,
                                               Times.HealthCheckTimeout});
     else
@@ -108,97 +118,137 @@
     Relaying = Next;
     Context.Log.write(Next ? event::RelayGained : event::RelayLost,
                       {{"zone", Location.Zone.str()}});
-    updateHealthCheck();
     if (Relaying) {
+      startServing();
       if (Source != feed_source::Store)
         watchStore("is relay itself");
-      PollExpiryTimer.startEvery(Times.LongPollTime / ExpiryChecksPerPoll);
-    } else {
-      PollExpiryTimer.cancel();
-      rejectPendingPolls(NotRelay);
-      PollTimer.startOnce(drawJitter(Context.Gen, SearchStepDelay));
+    } else if (!Substituting) {
+      stopServing();
     }
   }
 
+  void startServing() {
+    cancelPoll();
+    updateHealthCheck();
+    PollExpiryTimer.startEvery(Times.LongPollTime / ExpiryChecksPerPoll);
+  }
+
+  /// Follows the relay again.
+  void stopServing() {
+    updateHealthCheck();
+    PollExpiryTimer.cancel();
+    FollowerPolls.rejectAll(poll_status::NotRelay);
+    PollTimer.startOnce(drawJitter(Context.Gen, SearchStepDelay));
+  }
+
   void onFollowerPoll(std::shared_ptr<http1::exchange> Exchange) {
     auto Since = decodeCursor(Exchange->receivedRequest().Body);
     if (!Since) {
       Context.Log.write(event::BadRequest,
                         {{"peer", Exchange->clientAddress().str()},
                          {"reason", Since.failure().message()}});
-      return Exchange->respond(http1::makeStatusResponse(BadRequest));
+      return Exchange->respond(
+          http1::makeStatusResponse(poll_status::BadRequest));
     }
-    if (!Relaying)
-      return Exchange->respond(http1::makeStatusResponse(NotRelay));
-    if (StoreInSync == false || PendingPolls.size() >= MaxPendingPolls)
-      return Exchange->respond(http1::makeStatusResponse(Unavailable));
+    if (Exchange->receivedRequest().Target == SubstituteFeedPath)
+      startSubstituting();
+    if (!servesFollowers())
+      return Exchange->respond(http1::makeStatusResponse(
+          StoreUnreachable ? poll_status::Unavailable : poll_status::NotRelay));
+    if (StoreInSync == false)
+      return Exchange->respond(
+          http1::makeStatusResponse(poll_status::Unavailable));
     // A new relay holds the poll until it has read the whole store.
-    if (!StoreInSync || !isComplete() || !respondIfChanged(*Exchange, *Since))
-      PendingPolls.push_back({std::move(Exchange), *Since,
-                              Context.Clock.steadyNow() + Times.LongPollTime});
+    FollowerPolls.add(std::move(Exchange), *Since, canServe(),
+                      Context.Clock.steadyNow() + Times.LongPollTime);
   }
 
-  bool respondIfChanged(http1::exchange &Exchange, const feed_cursor &Since) {
-    auto Update = History.changesSince(Since);
-    if (!Update)
-      return false;
-    http1::response Response = http1::makeStatusResponse(Ok);
-    Response.Body = encodeUpdate(*Update);
-    Exchange.respond(std::move(Response));
-    return true;
+  void answerFollowerPolls() {
+    if (canServe())
+      FollowerPolls.respondToChanges();
+  }
+
+  void expireFollowerPolls() {
+    auto Now = Context.Clock.steadyNow();
+    FollowerPolls.expire(StoreInSync == true ? poll_status::NoContent
+                                             : poll_status::Unavailable,
+                         Now);
+    if (Substituting && FollowerPolls.empty() &&
+        Now - LastSubstitutePoll > SubstituteIdleTime)
+      stopSubstituting();
   }
 
-  void answerPendingPolls() {
-    if (!isComplete() || StoreInSync != true)
+  /// Serves followers although this node is not the relay, unless it cannot
+  /// reach the store either.
+  void startSubstituting() {
+    LastSubstitutePoll = Context.Clock.steadyNow();
+    if (servesFollowers() || StoreUnreachable)
       return;
-    std::erase_if(PendingPolls, [&](pending_poll &Each) {
-      return respondIfChanged(*Each.Exchange, Each.Cursor);
-    });
+    Substituting = true;
+    Context.Log.write(event::RelayGained,
+                      {{"zone", Location.Zone.str()}, {"substitute", 1}});
+    startServing();
+    if (Source == feed_source::Store)
+      return;
+    // Does not answer until this node watches the store.
+    StoreInSync.reset();
+    Store.probe(bindWeakly(shared_from_this(), &impl::onProbedForSubstitution));
   }
 
-  void expirePendingPolls() {
-    auto Now = Context.Clock.steadyNow();
-    std::erase_if(PendingPolls, [&](pending_poll &Each) {
-      if (Now < Each.Deadline)
-        return false;
-      Each.Exchange->respond(http1::makeStatusResponse(
-          StoreInSync == true ? NoContent : Unavailable));
-      return true;
-    });
+  void onProbedForSubstitution(bool Reached) {
+    if (!Substituting || Source == feed_source::Store)
+      return;
+    if (Reached)
+      return watchStore("substitutes for the relay");
+    FollowerPolls.rejectAll(poll_status::Unavailable);
+    stopSubstituting();
   }
 
-  void rejectPendingPolls(int Status) {
-    for (pending_poll &Each : std::exchange(PendingPolls, {}))
-      Each.Exchange->respond(http1::makeStatusResponse(Status));
+  void stopSubstituting() {
+    Substituting = false;
+    Context.Log.write(event::RelayLost,
+                      {{"zone", Location.Zone.str()}, {"substitute", 1}});
+    if (!Relaying)
+      stopServing();
   }
 
   // Follower side.
 
+  /// Returns the relay and its substitutes that this node may poll, best first.
+  /// While the store is unreachable, substitutes would not serve this node
+  /// either; while the process starts, the relay may still be starting too.
+  std::vector<mesh::server_record> usableRelays() const {
+    auto Candidates = relayCandidates();
+    if (StoreUnreachable || isStarting())
+      return Candidates;
+    return RelayFailures.usableRelays(Candidates, Context.Clock.steadyNow());
+  }
+
   void poll() {
-    if (Relaying || ActivePoll)
+    if (servesFollowers() || ActivePoll)
       return;
-    auto Candidates = relayCandidates();
+    auto Relays = usableRelays();
     if (StoreUnreachable && !Probing && Context.Clock.steadyNow() >= NextProbe)
       probeStore();
     if (Source == feed_source::Search)
-      return searchRelay(Candidates);
-    if (!Candidates.empty())
-      return pollRelay(Candidates.front());
+      return searchRelay(Relays);
+    if (!Relays.empty() && Relays.front().Node != Location.Node)
+      return pollRelay(Relays.front());
     PollTimer.startOnce(drawJitter(Context.Gen, RelayRetryDelay));
   }
 
-  void searchRelay(const std::vector<mesh::server_record> &Candidates) {
+  void searchRelay(const std::vector<mesh::server_record> &Relays) {
     PollTimer.startOnce(drawJitter(Context.Gen, SearchStepDelay));
-    switch (mesh::nextSearchStep(Search, Times, Candidates, Location.Node,
+    switch (mesh::nextSearchStep(Search, Times, Relays, Location.Node,
                                  Context.Clock.steadyNow())) {
     case mesh::search_step::ReadServers:
       return Store.readServers();
     case mesh::search_step::QueryRelay:
-      return pollRelay(Candidates.front());
+      return pollRelay(Relays.front());
     case mesh::search_step::WatchStore:
-      if (StoreUnreachable && !Candidates.empty() &&
-          Candidates.front().Node != Location.Node)
-        return pollRelay(Candidates.front());
+      if (StoreUnreachable && !Relays.empty() &&
+          Relays.front().Node != Location.Node)
+        return pollRelay(Relays.front());
       watchStore("no relay found");
       return updateRole();
     }
@@ -208,9 +258,10 @@
     PollTimer.cancel();
     PolledRelay = Relay.Node;
     Cursor.ConfigVersion = Configuration ? Configuration->Version : 0;
+    bool IsSubstitute = relayCandidates().front().Node != Relay.Node;
     http1::request Request;
     Request.Method = "POST";
-    Request.Target = FeedPath;
+    Request.Target = IsSubstitute ? SubstituteFeedPath : FeedPath;
     Request.Headers.add("Host", Relay.NodeAddress.str());
     Request.Body = encodeCursor(Cursor);
     ActivePoll = Pool.send(Relay.NodeAddress, std::move(Request),
@@ -220,31 +271,42 @@
                              PollTimeoutTimer.cancel();
                              onPollResponse(Result);
                            });
-    PollTimeoutTimer.startOnce(Times.LongPollTime + Times.ResponseGrace);
+    // The first poll at a substitute is answered as soon as it is in sync.
+    PollTimeoutTimer.startOnce(IsSubstitute && Source == feed_source::Search
+                                   ? Times.SearchTimeout / 2
+                                   : Times.LongPollTime + Times.ResponseGrace);
+  }
+
+  void cancelPoll() {
+    PollTimer.cancel();
+    PollTimeoutTimer.cancel();
+    if (auto Ticket = std::exchange(ActivePoll, std::nullopt))
+      Pool.cancel(*Ticket);
   }
 
   void onPollTimeout() {
     if (!ActivePoll)
       return;
-    Pool.cancel(*ActivePoll);
-    ActivePoll.reset();
+    cancelPoll();
     // The node may have missed changes since it sent the poll.
-    detachAndProbeStore("relay is silent");
+    onRelayFailed("relay is silent", true);
   }
 
   void onPollResponse(const http1::send_result &Result) {
-    if (Relaying)
-      return;
     if (Result.Outcome != http1::send_outcome::Responded)
-      return detachFromRelay("relay does not answer");
-    if (Result.Response.Status == Unavailable && Source == feed_source::Relay)
-      return detachAndProbeStore("relay has lost the store");
-    if (Result.Response.Status != Ok && Result.Response.Status != NoContent)
-      return detachFromRelay("does not relay");
-    if (Result.Response.Status == NoContent) {
+      return onRelayFailed("relay does not answer", false);
+    int Status = Result.Response.Status;
+    if (Status == poll_status::Unavailable)
+      return onRelayFailed("relay has lost the store", true);
+    if (Status == poll_status::NoContent) {
       attachToRelay();
       return poll();
     }
+    if (Status != poll_status::Ok) {
+      RelayFailures.avoid(PolledRelay,
+                          Context.Clock.steadyNow() + NotRelayAvoidance);
+      return searchNextRelay("does not relay", false);
+    }
     auto Update = decodeUpdate(Result.Response.Body);
     if (!Update) {
       Context.Log.write(event::RelayPeerLost,
@@ -257,11 +319,30 @@
     poll();
   }
 
-  /// Detaches from a relay whose data may be stale. This node then watches the
-  /// store itself if it can reach it.
-  void detachAndProbeStore(const char *Reason) {
+  void onRelayFailed(const char *Reason, bool MayBeStale) {
+    RelayFailures.avoid(PolledRelay,
+                        Context.Clock.steadyNow() + FailedRelayAvoidance +
+                            drawJitter(Context.Gen, FailedRelayAvoidance));
+    searchNextRelay(Reason, MayBeStale);
+  }
+
+  /// Polls the next substitute at once. Without one, this node watches the
+  /// store itself if it can reach it, or searches for the next relay.
+  ///
+  /// \param MayBeStale whether changes may have been missed.
+  void searchNextRelay(const char *Reason, bool MayBeStale) {
+    bool WasAttached = Source == feed_source::Relay;
+    // The relay was polled to return to it; its substitute still serves.
+    if (WasAttached && PolledRelay != AttachedRelay)
+      return poll();
     detachFromRelay(Reason);
-    probeStore();
+    if (isStarting() || StoreUnreachable)
+      return;
+    auto Relays = usableRelays();
+    if (!Relays.empty() && Relays.front().Node != Location.Node)
+      return pollRelay(Relays.front());
+    if (WasAttached ? MayBeStale : Source == feed_source::Search)
+      probeStore();
   }
 
   void probeStore() {
@@ -285,18 +366,20 @@
     // reconnects within a moment, so the search gets half the usual time.
     // If only the relay has lost the store, waiting for it is useless.
     if (!std::exchange(StoreUnreachable, false))
-      return watchStore("relay has lost the store");
+      return watchStore("no relay can reach the store");
+    RelayFailures.clear();
     Search.StartedAt = Context.Clock.steadyNow() - Times.SearchTimeout / 2;
   }
 
   void attachToRelay() {
     StoreUnreachable = false;
+    if (std::exchange(AttachedRelay, PolledRelay) != PolledRelay)
+      Context.Log.write(event::ParentAttached, {{"relay", PolledRelay.str()}});
     if (Source == feed_source::Relay)
       return;
     Source = feed_source::Relay;
     StoreInSync.reset();
     Store.setWatching(false);
-    Context.Log.write(event::ParentAttached, {{"relay", PolledRelay.str()}});
     Node.onSyncState(true);
   }
 
@@ -312,6 +395,7 @@
       return;
     Source = feed_source::Search;
     Search = {Context.Clock.steadyNow(), false, false, false};
+    AttachedRelay = {};
     Context.Log.write(event::ParentLost,
                       {{"relay", PolledRelay.str()}, {"reason", Reason}});
   }
@@ -323,8 +407,9 @@
       return;
     if (Source == feed_source::Relay)
       Context.Log.write(event::ParentLost,
-                        {{"relay", PolledRelay.str()}, {"reason", Reason}});
+                        {{"relay", AttachedRelay.str()}, {"reason", Reason}});
     Source = feed_source::Store;
+    AttachedRelay = {};
     StoreUnreachable = false;
     StoreInSync.reset();
     Store.setWatching(true);
@@ -382,7 +467,7 @@
     History.setServers(*Servers);
     Node.onServers(*Servers);
     // Followers must learn the next relay before this node rejects their polls.
-    answerPendingPolls();
+    answerFollowerPolls();
     if (Source != feed_source::Search)
       return updateRole();
     auto Now = Context.Clock.steadyNow();
@@ -390,7 +475,7 @@
       Search = {Now, true, Servers->empty(), false};
     Search.Rejected = false;
     // Each read ends up here, so reading again now would repeat without delay.
-    if (mesh::nextSearchStep(Search, Times, relayCandidates(), Location.Node,
+    if (mesh::nextSearchStep(Search, Times, usableRelays(), Location.Node,
                              Now) != mesh::search_step::ReadServers)
       return poll();
     if (First)
@@ -400,7 +485,7 @@
   void onControlStateChanged() {
     if (BaseVersionsKnown && RolloutsKnown && ZonesKnown)
       History.setControlState(ControlState);
-    answerPendingPolls();
+    answerFollowerPolls();
   }
 };
 
@@ -424,7 +509,7 @@
 void feed_task::onConfiguration(
     std::shared_ptr<const mesh::mesh_configuration> Next) {
   Impl->setConfiguration(std::move(Next));
-  Impl->answerPendingPolls();
+  Impl->answerFollowerPolls();
 }
 
 void feed_task::onServers(std::vector<mesh::server_record> Servers) {
@@ -455,9 +540,9 @@
 void feed_task::onSyncState(bool InSync) {
   Impl->StoreInSync = InSync;
   if (InSync)
-    Impl->answerPendingPolls();
+    Impl->answerFollowerPolls();
   else
-    Impl->rejectPendingPolls(Unavailable);
+    Impl->FollowerPolls.rejectAll(poll_status::Unavailable);
   if (Impl->Source == feed_source::Store)
     Impl->Node.onSyncState(InSync);
 }
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -93,7 +93,9 @@
   void onRequest(std::shared_ptr<http1::exchange> Exchange) {
     if (Exchange->receivedRequest().Target == EvidencePath)
       return onEvidence(*Exchange);
-    if (Exchange->receivedRequest().Target == FeedPath && FollowerPollHandler)
+    const std::string &Target = Exchange->receivedRequest().Target;
+    if ((Target == FeedPath || Target == SubstituteFeedPath) &&
+        FollowerPollHandler)
       return FollowerPollHandler(std::move(Exchange));
     auto Call = extractPeerCall(Exchange->receivedRequest());
     if (!Call) {
--- a/libs/gateway/tests/feed_task_test.cpp
+++ b/libs/gateway/tests/feed_task_test.cpp
@@ -334,3 +334,71 @@
   awaitVersion(4);
   LONGS_EQUAL(1, Follower.Store.Probes);
 }
+
+// Guards against store calls that grow with the number of nodes: all followers
+// of a relay that cannot reach the store watched it themselves.
+TEST(FeedTask, SubstituteServesFollowersOfARelayWithoutStore) {
+  constexpr int Followers = 12;
+  feed_node &Relay = add("relay", 200);
+  feed_node &Substitute = add("substitute", 100);
+  for (int Index = 0; Index < Followers; ++Index)
+    add("f" + std::to_string(Index), 10);
+  startAll();
+  awaitVersion(2);
+  Relay.Store.disconnect();
+  Content.Version = 3;
+  auto HasVersion = [](config_version Version) {
+    return [Version](const auto &Each) {
+      return Each->Watcher.Version == Version && Each->Watcher.InSync;
+    };
+  };
+  runUntil(Loop, [&] {
+    return std::all_of(Nodes.begin() + 1, Nodes.end(), HasVersion(3));
+  });
+  LONGS_EQUAL(1, Substitute.Store.WatchStarts);
+  Content.Version = 4;
+  Substitute.Store.deliverChanges();
+  runUntil(Loop, [&] {
+    return std::all_of(Nodes.begin() + 1, Nodes.end(), HasVersion(4));
+  });
+  for (auto Each = Nodes.begin() + 2; Each != Nodes.end(); ++Each)
+    LONGS_EQUAL(0, (*Each)->Store.WatchStarts);
+  // Once the relay can reach the store again, the substitute follows it.
+  Relay.Store.reconnect();
+  runUntil(Loop, [&] { return !Substitute.Store.Watching; });
+  awaitVersion(5);
+}
+
+TEST(FeedTask, NextSubstituteServesIfTheFirstHasNoStore) {
+  feed_node &Relay = add("relay", 200);
+  feed_node &First = add("first", 100);
+  feed_node &Second = add("second", 50);
+  feed_node &Follower = add("follower", 10);
+  startAll();
+  awaitVersion(2);
+  First.Store.Reachable = false;
+  Relay.Store.disconnect();
+  Content.Version = 3;
+  runUntil(Loop, [&] {
+    return Second.Watcher.Version == 3 && Follower.Watcher.Version == 3;
+  });
+  LONGS_EQUAL(0, Follower.Store.WatchStarts);
+  LONGS_EQUAL(0, First.Store.WatchStarts);
+}
+
+// Guards against followers that watch the store while the next relay does not
+// yet know that it is the relay.
+TEST(FeedTask, FormerRelaySubstitutesUntilTheNextOneKnowsItsRole) {
+  feed_node &Relay = add("relay", 100);
+  feed_node &Follower = add("follower", 10);
+  startAll();
+  awaitVersion(2);
+  // The record of a faster node appears before that node has read it.
+  feed_node &Next = add("next", 200);
+  Relay.Store.deliverChanges();
+  Content.Version = 3;
+  Relay.Store.deliverChanges();
+  runUntil(Loop, [&] { return Follower.Watcher.Version == 3; });
+  LONGS_EQUAL(0, Follower.Store.WatchStarts);
+  LONGS_EQUAL(0, Next.Store.WatchStarts);
+}
--- a/libs/mesh/include/gentianlug/mesh/relay_selection.h
+++ b/libs/mesh/include/gentianlug/mesh/relay_selection.h
@@ -4,12 +4,17 @@
 #include "gentianlug/core/clock.h"
 #include "gentianlug/mesh/model.h"
 
+#include <unordered_map>
+
 namespace gentianlug::mesh {
 
 /// Average number of nodes per relay. Larger zones are split into groups with a
 /// relay each, so that the load of a relay does not grow with the fleet.
 inline constexpr std::size_t NodesPerRelay = 64;
 
+/// The relay of a group and the nodes that may substitute for it.
+inline constexpr std::size_t RelaysPerGroup = 3;
+
 /// Returns the nodes that may relay changes of the store to \p Self, best
 /// first: those of its zone and group, by decreasing link bandwidth. Nodes of a
 /// group that know the same servers get the same order.
@@ -42,6 +47,26 @@
 /// Returns the times for \p ConfigTime; they do not grow beyond 2 s.
 relay_timing relayTimingFor(std::chrono::milliseconds ConfigTime);
 
+/// Relays that failed to serve a node, each for a time.
+///
+/// If the relay of a group cannot serve a node, the next candidate is asked to
+/// substitute for it. Without substitutes, each node of the group would watch
+/// the store, and the store calls for a change would grow with the group.
+class relay_failures {
+public:
+  /// Avoids \p Relay until \p Until.
+  void avoid(const node_id &Relay, steady_time Until);
+  void clear() { AvoidedUntil.clear(); }
+  /// Returns the relays that \p Candidates leaves to try, best first: the
+  /// relay and its substitutes, without those that are avoided.
+  std::vector<server_record>
+  usableRelays(const std::vector<server_record> &Candidates,
+               steady_time Now) const;
+
+private:
+  std::unordered_map<node_id, steady_time> AvoidedUntil;
+};
+
 /// State of a node that receives no changes and searches for its relay.
 struct relay_search {
   steady_time StartedAt;
--- a/libs/mesh/src/relay_selection.cpp
+++ b/libs/mesh/src/relay_selection.cpp
@@ -52,6 +52,23 @@
   return Timing;
 }
 
+void relay_failures::avoid(const node_id &Relay, steady_time Until) {
+  AvoidedUntil[Relay] = Until;
+}
+
+std::vector<server_record>
+relay_failures::usableRelays(const std::vector<server_record> &Candidates,
+                             steady_time Now) const {
+  std::vector<server_record> Usable;
+  std::size_t Count = std::min(Candidates.size(), RelaysPerGroup);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    auto Found = AvoidedUntil.find(Candidates[Index].Node);
+    if (Found == AvoidedUntil.end() || Now >= Found->second)
+      Usable.push_back(Candidates[Index]);
+  }
+  return Usable;
+}
+
 search_step nextSearchStep(const relay_search &Search,
                            const relay_timing &Timing,
                            const std::vector<server_record> &Candidates,
