--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -14,6 +14,9 @@
 static constexpr int ExpiryChecksPerPoll = 4;
 /// Delay before a node that watches the store itself polls a relay again.
 static constexpr std::chrono::milliseconds RelayRetryDelay{2000};
+/// Delay between two steps of the relay search while all nodes start. Most of
+/// these steps read the servers again.
+static constexpr std::chrono::milliseconds NewMeshStepDelay{600};
 /// Delay between two steps of the relay search.
 static constexpr std::chrono::milliseconds SearchStepDelay{250};
 static constexpr std::chrono::milliseconds RelayConnectTimeout{300};
@@ -238,7 +241,10 @@
   }
 
   void searchRelay(const std::vector<mesh::server_record> &Relays) {
-    PollTimer.startOnce(drawJitter(Context.Gen, SearchStepDelay));
+    PollTimer.startOnce(Search.MeshIsNew
+                            ? NewMeshStepDelay / 2 +
+                                  drawJitter(Context.Gen, NewMeshStepDelay / 2)
+                            : drawJitter(Context.Gen, SearchStepDelay));
     switch (mesh::nextSearchStep(Search, Times, Relays, Location.Node,
                                  Context.Clock.steadyNow())) {
     case mesh::search_step::ReadServers:
@@ -343,6 +349,8 @@
       return pollRelay(Relays.front());
     if (WasAttached ? MayBeStale : Source == feed_source::Search)
       probeStore();
+    else if (!MayBeStale)
+      PollTimer.startOnce(NotRelayAvoidance);
   }
 
   void probeStore() {
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -23,6 +23,9 @@
 /// Part of the grace period that is reserved for the exit of the process.
 static constexpr std::chrono::milliseconds ProcessExitReserve{500};
 static constexpr std::chrono::milliseconds StopCheckPeriod{50};
+/// Time after a write within which the servers that a relay sends may still
+/// lack the record of this node.
+static constexpr std::chrono::milliseconds RecordPropagationTime{2000};
 static constexpr std::chrono::milliseconds LogFlushPeriod{200};
 
 static double linkBytesPerSecond(const node_location &Location) {
@@ -56,9 +59,11 @@
   std::optional<steady_time> StopStartedAt;
   std::function<void()> StopHandler;
   std::optional<mesh::server_record> PublishedRecord;
+  steady_time PublishedAt{};
   std::optional<local_server> LocalServer;
   net::timer StopTimer;
   net::timer FlushTimer;
+  net::timer RecordCheckTimer;
 
   impl(task_context Context, gateway_settings InitialSettings,
        mesh_store &Store, mesh_watcher &Node)
@@ -70,7 +75,8 @@
                  Serving),
         Feed(Context, Settings.Location, Store, Node),
         StopTimer(Context.Loop, [this] { advanceStop(); }),
-        FlushTimer(Context.Loop, [this] { this->Context.Log.flush(); }) {
+        FlushTimer(Context.Loop, [this] { this->Context.Log.flush(); }),
+        RecordCheckTimer(Context.Loop, [this] { checkRecordIsStored(); }) {
     Entry.onLocalService(Settings.LocalService);
     Rollouts.onBounds(Settings.Bounds);
     Feed.onBounds(Settings.Bounds);
@@ -169,9 +175,25 @@
         return Done();
     }
     PublishedRecord = Next;
+    PublishedAt = Context.Clock.steadyNow();
     Store.publishServer(Next, std::move(Done));
   }
 
+  /// Publishes the record of this node again if the store has lost it.
+  void checkRecordIsStored() {
+    bool Stored = std::any_of(Servers.begin(), Servers.end(),
+                              [&](const mesh::server_record &Record) {
+                                return Record.Node == Settings.Location.Node;
+                              });
+    if (Stored || !PublishedRecord)
+      return;
+    auto Age = Context.Clock.steadyNow() - PublishedAt;
+    if (Age < RecordPropagationTime || Store.hasPendingPublish())
+      return RecordCheckTimer.startOnce(RecordPropagationTime);
+    PublishedRecord.reset();
+    publish([] {});
+  }
+
   void proposeBaseVersion() {
     const auto &Server = Lifecycle.current();
     if (!Server || !InSync || !BaseVersionsKnown || !RolloutsKnown ||
@@ -347,10 +369,8 @@
       [&](const mesh::server_record &Record) { return Record.Node == Own; });
   if (First && Found != Servers.end())
     Impl->Lifecycle.restoreRecord(*Found);
-  // If the store has lost the record of this node, publish it again.
-  if (!First && Found == Servers.end())
-    Impl->PublishedRecord.reset();
   Impl->Servers = std::move(Servers);
+  Impl->checkRecordIsStored();
   Impl->Entry.onServers(Impl->Servers);
   Impl->Rollouts.onServers(Impl->Servers);
   if (const auto &Current = Impl->Lifecycle.current()) {
