--- a/libs/gateway/include/gentianlug/gateway/peer_call.h
+++ b/libs/gateway/include/gentianlug/gateway/peer_call.h
@@ -54,6 +54,10 @@
   http1::response Response;
   /// Code of the reason for a failure; empty on success.
   std::string Reason;
+  /// The server answered with an error after the mesh had rejected a call that
+  /// it made. Says nothing about the server, and a retry would only add to the
+  /// load that caused the rejection.
+  bool NestedCallRejected = false;
   std::optional<mesh::load_report> Report;
 };
 
--- a/libs/gateway/include/gentianlug/gateway/serving_task.h
+++ b/libs/gateway/include/gentianlug/gateway/serving_task.h
@@ -69,6 +69,8 @@
   /// Returns the number of response bytes that are still to be sent to other
   /// nodes.
   std::size_t unsentBytes() const;
+  /// The mesh rejected a call that the server made.
+  void onNestedCallRejected();
   /// Returns the share of the calls running at the server that are retries.
   double retryShare() const;
   /// Sets the function that returns the unsent bytes of the node's other
--- a/libs/gateway/src/entry_call.cpp
+++ b/libs/gateway/src/entry_call.cpp
@@ -182,6 +182,8 @@
   constexpr int FirstServerError = 500;
   switch (Result.Outcome) {
   case serving_outcome::Answered:
+    if (Result.NestedCallRejected)
+      return mesh::attempt_result::Canceled;
     return Result.Response.Status >= FirstServerError
                ? mesh::attempt_result::Failed
                : mesh::attempt_result::Succeeded;
@@ -267,7 +269,7 @@
     ServerErrorResponse = std::move(Result.Response);
     if (!RunningAttempts.empty())
       return;
-    if (canRetry()) {
+    if (canRetry() && !Result.NestedCallRejected) {
       Entry.Context.Log.write(event::CallRetried,
                               {{"call", Plan.CallId},
                                {"route", Plan.Route.str()},
@@ -353,6 +355,8 @@
 void entry_call::sendLocalResponse(int Status, const std::string &Reason) {
   constexpr int Unavailable = 503;
   std::optional<std::chrono::milliseconds> RetryAfter;
+  if (Status == Unavailable && Plan.QueuePriority == 0)
+    Entry.Local.onNestedCallRejected();
   if (Status == Unavailable)
     RetryAfter =
         drawJitter(Entry.Context.Gen,
--- a/libs/gateway/src/peer_call.cpp
+++ b/libs/gateway/src/peer_call.cpp
@@ -18,6 +18,10 @@
 static constexpr std::size_t CallValueCount = 10;
 static constexpr std::size_t ServingValueCount = 6;
 
+/// Reason that carries `serving_result::NestedCallRejected`.
+static constexpr std::string_view NestedCallRejectedReason =
+    "nested-call-rejected";
+
 static constexpr std::array<std::string_view, 5> OutcomeNames = {
     "answered", "refused", "shed", "unknown", "unreachable"};
 
@@ -120,7 +124,9 @@
   Value.append(";").append(std::to_string(Report.Queued));
   Value.append(";").append(std::to_string(Report.ConcurrencyLimit));
   Value.append(";").append(std::to_string(Report.ServiceTime.count()));
-  Value.append(";").append(Result.Reason);
+  Value.append(";");
+  Value.append(Result.NestedCallRejected ? NestedCallRejectedReason
+                                         : std::string_view(Result.Reason));
   http1::response Response;
   if (Result.Outcome == serving_outcome::Answered) {
     Response = std::move(Result.Response);
@@ -151,6 +157,7 @@
     if (OutcomeNames[Index] == Parts[0])
       Result.Outcome = serving_outcome(Index);
   Result.Reason = Parts[5];
+  Result.NestedCallRejected = Parts[5] == NestedCallRejectedReason;
   Result.Report = Report;
   Response.Headers.remove(ServingHeader);
   http1::removeHopByHopFields(Response.Headers);
--- a/libs/gateway/src/peer_transport.cpp
+++ b/libs/gateway/src/peer_transport.cpp
@@ -29,13 +29,19 @@
         case http1::send_outcome::Responded:
           return Done(decodeServingResult(std::move(Result.Response)));
         case http1::send_outcome::NotSent:
-          return Done(
-              {serving_outcome::Unreachable, {}, "node-unreachable", {}});
+          return Done({serving_outcome::Unreachable,
+                       {},
+                       "node-unreachable",
+                       false,
+                       {}});
         case http1::send_outcome::ConnectionLost:
-          return Done({serving_outcome::Unknown, {}, "node-lost", {}});
+          return Done({serving_outcome::Unknown, {}, "node-lost", false, {}});
         case http1::send_outcome::Malformed:
-          return Done(
-              {serving_outcome::Unknown, {}, "malformed-peer-answer", {}});
+          return Done({serving_outcome::Unknown,
+                       {},
+                       "malformed-peer-answer",
+                       false,
+                       {}});
         }
       });
 }
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -3,6 +3,7 @@
 #include "gentianlug/core/weak_callback.h"
 #include "gentianlug/gateway/feed_task.h"
 #include "gentianlug/http1/client_pool.h"
+#include "gentianlug/mesh/nested_rejections.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/wire/rollout_values.h"
 
@@ -65,6 +66,7 @@
 
   std::unordered_map<route_name, double> AverageResponseBytes;
   std::function<std::size_t()> OtherUnsentBytes;
+  mesh::nested_rejections NestedRejections;
 
   impl(task_context Context, double LinkBytesPerSecond,
        http1::link_pacer &Pacer)
@@ -204,7 +206,7 @@
     Context.Metrics.count(std::string("gate_refusals_total{reason=\"") +
                           mesh::describe(Reason) + "\"}");
     complete(Ticket,
-             {serving_outcome::Refused, {}, mesh::describe(Reason), {}});
+             {serving_outcome::Refused, {}, mesh::describe(Reason), false, {}});
   }
 
   void complete(ticket Ticket, serving_result Result) {
@@ -228,8 +230,9 @@
     if (Result.Outcome == http1::send_outcome::NotSent) {
       Admission.finish(Ticket, std::nullopt);
       suspendServer("no connection");
-      return complete(Ticket,
-                      {serving_outcome::Refused, {}, "server-unreachable", {}});
+      return complete(
+          Ticket,
+          {serving_outcome::Refused, {}, "server-unreachable", false, {}});
     }
     if (Result.Outcome != http1::send_outcome::Responded)
       return onResponseLost(Ticket, Call, Result);
@@ -242,20 +245,24 @@
       addEvidence(Call, Failed, Time);
       recordResponseSize(Call.Call.Route, Result.Response.Body.size());
       http1::removeHopByHopFields(Result.Response.Headers);
+      bool NestedCallRejected =
+          Failed && NestedRejections.explainError(Call.StartedAt);
       return complete(Ticket, {serving_outcome::Answered,
                                std::move(Result.Response),
                                Failed ? "server-error" : "",
+                               NestedCallRejected,
                                {}});
     }
     case response_class::NotRun:
       ConsecutiveLostResponses = 0;
       Admission.finish(Ticket, std::nullopt);
-      return complete(Ticket, {serving_outcome::Shed, {}, "server-shed", {}});
+      return complete(Ticket,
+                      {serving_outcome::Shed, {}, "server-shed", false, {}});
     case response_class::WrongServer:
       Admission.finish(Ticket, std::nullopt);
       suspendServer("another server has the address");
-      return complete(Ticket,
-                      {serving_outcome::Refused, {}, "wrong-server", {}});
+      return complete(
+          Ticket, {serving_outcome::Refused, {}, "wrong-server", false, {}});
     case response_class::Unverified:
       return onResponseLost(Ticket, Call, Result);
     }
@@ -277,7 +284,7 @@
     addEvidence(Call, true, {});
     if (++ConsecutiveLostResponses >= LostResponsesBeforeProbe)
       suspendServer("answers lost in a row");
-    complete(Ticket, {serving_outcome::Unknown, {}, Reason, {}});
+    complete(Ticket, {serving_outcome::Unknown, {}, Reason, false, {}});
   }
 
   void addEvidence(const serving_call &Call, bool Failed,
@@ -469,6 +476,10 @@
   return Evidence;
 }
 
+void serving_task::onNestedCallRejected() {
+  Impl->NestedRejections.onRejected(Impl->now());
+}
+
 double serving_task::retryShare() const { return Impl->Admission.retryShare(); }
 
 void serving_task::setOtherUnsentBytesSource(
--- a/libs/gateway/tests/messages_test.cpp
+++ b/libs/gateway/tests/messages_test.cpp
@@ -91,6 +91,17 @@
   UNSIGNED_LONGS_EQUAL(1, Read.Response.Headers.size());
 }
 
+TEST(PeerCall, ResultsTellErrorsAfterRejectedNestedCalls) {
+  serving_result Result;
+  Result.Outcome = serving_outcome::Answered;
+  Result.Response = http1::makeStatusResponse(500);
+  Result.Reason = "server-error";
+  CHECK_FALSE(
+      decodeServingResult(encodeServingResult(Result)).NestedCallRejected);
+  Result.NestedCallRejected = true;
+  CHECK(decodeServingResult(encodeServingResult(Result)).NestedCallRejected);
+}
+
 // Guards against treating a response without a known outcome as "not run".
 TEST(PeerCall, UnrecognizedResponsesAreUnknown) {
   CHECK(decodeServingResult(http1::makeStatusResponse(503)).Outcome ==
