--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -235,9 +235,17 @@
       probeStore();
     if (Source == feed_source::Search)
       return searchRelay(Relays);
-    if (!Relays.empty() && Relays.front().Node != Location.Node)
+    if (canPoll(Relays))
       return pollRelay(Relays.front());
     PollTimer.startOnce(drawJitter(Context.Gen, RelayRetryDelay));
+    if (Source != feed_source::Relay)
+      return;
+    detachFromRelay("no candidate serves this node");
+    probeStore();
+  }
+
+  bool canPoll(const std::vector<mesh::server_record> &Relays) const {
+    return !Relays.empty() && Relays.front().Node != Location.Node;
   }
 
   void searchRelay(const std::vector<mesh::server_record> &Relays) {
@@ -252,8 +260,7 @@
     case mesh::search_step::QueryRelay:
       return pollRelay(Relays.front());
     case mesh::search_step::WatchStore:
-      if (StoreUnreachable && !Relays.empty() &&
-          Relays.front().Node != Location.Node)
+      if (StoreUnreachable && canPoll(Relays))
         return pollRelay(Relays.front());
       watchStore("no relay found");
       return updateRole();
@@ -344,8 +351,7 @@
     detachFromRelay(Reason);
     if (isStarting() || StoreUnreachable)
       return;
-    auto Relays = usableRelays();
-    if (!Relays.empty() && Relays.front().Node != Location.Node)
+    if (auto Relays = usableRelays(); canPoll(Relays))
       return pollRelay(Relays.front());
     if (WasAttached ? MayBeStale : Source == feed_source::Search)
       probeStore();
@@ -381,6 +387,7 @@
 
   void attachToRelay() {
     StoreUnreachable = false;
+    RelayFailures.onServed(PolledRelay);
     if (std::exchange(AttachedRelay, PolledRelay) != PolledRelay)
       Context.Log.write(event::ParentAttached, {{"relay", PolledRelay.str()}});
     if (Source == feed_source::Relay)
@@ -403,9 +410,9 @@
       return;
     Source = feed_source::Search;
     Search = {Context.Clock.steadyNow(), false, false, false};
-    AttachedRelay = {};
     Context.Log.write(event::ParentLost,
-                      {{"relay", PolledRelay.str()}, {"reason", Reason}});
+                      {{"relay", AttachedRelay.str()}, {"reason", Reason}});
+    AttachedRelay = {};
   }
 
   void watchStore(const char *Reason) {
--- a/libs/gateway/tests/feed_task_test.cpp
+++ b/libs/gateway/tests/feed_task_test.cpp
@@ -402,3 +402,30 @@
   LONGS_EQUAL(0, Follower.Store.WatchStarts);
   LONGS_EQUAL(0, Next.Store.WatchStarts);
 }
+
+// Guards against a follower that stays with a substitute that is no longer
+// among its candidates: none of the new ones served it, and it polled nobody.
+TEST(FeedTask, FollowerWithoutUsableRelayWatchesTheStore) {
+  feed_node &Relay = add("relay", 50);
+  feed_node &Substitute = add("substitute", 40);
+  feed_node &Follower = add("follower", 10);
+  startAll();
+  awaitVersion(2);
+  Relay.Store.disconnect();
+  Content.Version = 3;
+  runUntil(Loop, [&] { return Follower.Watcher.Version == 3; });
+  // Records of nodes that do not answer outrank both.
+  for (const char *Name : {"x1", "x2", "x3"}) {
+    mesh::server_record Record;
+    Record.Node = node_id(Name);
+    Record.NodeAddress = {"127.0.0.1", freePort()};
+    Record.Zone = zone_name("z");
+    Record.LinkMbps = 100;
+    Content.Servers.push_back(Record);
+  }
+  Substitute.Store.deliverChanges();
+  Content.Version = 4;
+  auto Start = std::chrono::steady_clock::now();
+  runUntil(Loop, [&] { return Follower.Watcher.Version == 4; });
+  CHECK(std::chrono::steady_clock::now() - Start < std::chrono::seconds(3));
+}
--- a/libs/mesh/include/gentianlug/mesh/relay_selection.h
+++ b/libs/mesh/include/gentianlug/mesh/relay_selection.h
@@ -56,6 +56,8 @@
 public:
   /// Avoids \p Relay until \p Until.
   void avoid(const node_id &Relay, steady_time Until);
+  /// \p Relay has served the node: it is no longer avoided.
+  void onServed(const node_id &Relay) { AvoidedUntil.erase(Relay); }
   void clear() { AvoidedUntil.clear(); }
   /// Returns the relays that \p Candidates leaves to try, best first: the
   /// relay and its substitutes, without those that are avoided.
--- a/libs/mesh/tests/relay_selection_test.cpp
+++ b/libs/mesh/tests/relay_selection_test.cpp
@@ -131,3 +131,45 @@
 TEST(RelaySearch, SingleNodeWatchesStoreAfterRelayLoss) {
   CHECK(isNextStep(search_step::WatchStore, 0ms));
 }
+
+TEST_GROUP(RelayFailures) {
+  std::vector<server_record> Candidates;
+  relay_failures Failures;
+  steady_time Now{std::chrono::seconds(100)};
+
+  void setup() override {
+    for (const char *Name : {"first", "second", "third", "fourth"}) {
+      server_record Record;
+      Record.Node = node_id(Name);
+      Candidates.push_back(Record);
+    }
+  }
+  std::string usable(std::chrono::milliseconds After) {
+    std::string Names;
+    for (const auto &Each : Failures.usableRelays(Candidates, Now + After))
+      Names += Each.Node.str() + " ";
+    return Names;
+  }
+};
+
+// Guards against relays whose number grows with the group: only the relay and
+// two substitutes may be asked.
+TEST(RelayFailures, OfferTheRelayAndTwoSubstitutes) {
+  STRCMP_EQUAL("first second third ", usable(0ms).c_str());
+}
+
+TEST(RelayFailures, AvoidFailedRelaysForATime) {
+  Failures.avoid(node_id("first"), Now + 2s);
+  STRCMP_EQUAL("second third ", usable(1999ms).c_str());
+  STRCMP_EQUAL("first second third ", usable(2s).c_str());
+}
+
+// Guards against a relay that is passed over although it serves again.
+TEST(RelayFailures, ForgetFailuresOfRelaysThatServe) {
+  Failures.avoid(node_id("first"), Now + 2s);
+  Failures.avoid(node_id("second"), Now + 2s);
+  Failures.onServed(node_id("first"));
+  STRCMP_EQUAL("first third ", usable(0ms).c_str());
+  Failures.clear();
+  STRCMP_EQUAL("first second third ", usable(0ms).c_str());
+}
