--- a/libs/gateway/src/entry_call.cpp
+++ b/libs/gateway/src/entry_call.cpp
@@ -198,10 +198,23 @@
   return mesh::attempt_result::Failed;
 }
 
+void entry_call::countAttempt(const node_id &Node, serving_outcome Outcome) {
+  auto Found = std::find_if(
+      RunningAttempts.begin(), RunningAttempts.end(),
+      [&](const running_attempt &Attempt) { return Attempt.Node == Node; });
+  if (Found == RunningAttempts.end())
+    return;
+  bool Delivered = Outcome != serving_outcome::Refused &&
+                   Outcome != serving_outcome::Unreachable;
+  if (Delivered && !Found->CountedAsDelivered)
+    ++DeliveredAttempts;
+  if (!Delivered && Found->CountedAsDelivered)
+    --DeliveredAttempts;
+  RunningAttempts.erase(Found);
+}
+
 void entry_call::onAttemptEnded(const node_id &Node, serving_result Result) {
-  std::erase_if(RunningAttempts, [&](const running_attempt &Attempt) {
-    return Attempt.Node == Node;
-  });
+  countAttempt(Node, Result.Outcome);
   Entry.Balancer.onAttemptEnded(Node, toAttemptResult(Result), Result.Report,
                                 Entry.Context.Clock.steadyNow());
   if (Finished)
@@ -210,16 +223,12 @@
     recordAttemptOutcome(Node, Result.Reason);
   switch (Result.Outcome) {
   case serving_outcome::Answered:
-    ++DeliveredAttempts;
     return onServerResponse(std::move(Result));
   case serving_outcome::Shed:
-    ++DeliveredAttempts;
-    return onAttemptRefused(Result.Reason);
   case serving_outcome::Refused:
   case serving_outcome::Unreachable:
     return onAttemptRefused(Result.Reason);
   case serving_outcome::Unknown:
-    ++DeliveredAttempts;
     MayHaveRun = true;
     Entry.Context.Log.write(event::CallFailed, {{"call", Plan.CallId},
                                                 {"route", Plan.Route.str()},
@@ -245,7 +254,8 @@
   LastRefusalReason = Reason;
   if (!RunningAttempts.empty())
     return;
-  if (DeliveredAttempts >= Plan.MaxAttempts || Reason == "repeats-spent")
+  bool RetryRejected = DeliveredAttempts > 0 && Reason == "repeats-spent";
+  if (DeliveredAttempts >= Plan.MaxAttempts || RetryRejected)
     return fail(Reason);
   fallBackToBaseVersion();
   startNextAttempt();
@@ -302,9 +312,9 @@
       Entry.Balancer.selectServer(selectionCriteria(), Entry.Context.Gen, Now);
   if (!Target)
     return;
-  // The first attempt has most likely reached its server.
+  // The first attempt has most likely reached its server; its result will tell.
+  RunningAttempts.front().CountedAsDelivered = true;
   ++DeliveredAttempts;
-  MayHaveRun = true;
   Entry.Context.Log.write(event::CallRetried, {{"call", Plan.CallId},
                                                {"route", Plan.Route.str()},
                                                {"reason", "no-answer-yet"},
--- a/libs/gateway/src/entry_call.h
+++ b/libs/gateway/src/entry_call.h
@@ -55,6 +55,9 @@
     node_id Node;
     bool IsLocal = false;
     call_transport::ticket Ticket = 0;
+    /// Counted in `DeliveredAttempts` before its result is known, because
+    /// another attempt was started in parallel.
+    bool CountedAsDelivered = false;
   };
 
   void startNextAttempt();
@@ -64,6 +67,9 @@
   void send(const mesh::server_record &Target);
   call_transport &transportFor(bool IsLocal);
   void onAttemptEnded(const node_id &Node, serving_result Result);
+  /// Removes the attempt at \p Node from the running ones and counts it if it
+  /// reached a server.
+  void countAttempt(const node_id &Node, serving_outcome Outcome);
   /// Records how an attempt ended, for the log line of a failed call.
   void recordAttemptOutcome(const node_id &Node, const std::string &Outcome);
   void onAttemptRefused(const std::string &Reason);
