--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -128,7 +128,8 @@
     if (const mesh::service *Service =
             Configuration ? Configuration->findService(Current->Service)
                           : nullptr) {
-      Next.Admission.ColdCallsPerSecond = Service->ColdCallsPerSecond;
+      Next.Admission.ColdCallsPerSecond =
+          Service->ColdCallsPerSecond * Settings.Bounds.ColdRateFactor;
       Next.HealthPath = Service->HealthPath;
     }
     bool SameInstance = LocalServer && LocalServer->Admission.Instance ==
--- a/libs/mesh/include/gentianlug/mesh/model.h
+++ b/libs/mesh/include/gentianlug/mesh/model.h
@@ -129,6 +129,9 @@
   /// Share of the calls of a service that a new version may receive before it
   /// is known to be good.
   double MaxExposedShare = 0.1;
+  /// Calls per second that a cold server may receive, as a multiple of the rate
+  /// that it is declared to process.
+  double ColdRateFactor = 1;
   /// Time from the first termination signal to the end of the process.
   std::chrono::milliseconds ShutdownGracePeriod{6000};
   /// Time within which an acknowledged configuration is active on all nodes.
