--- a/libs/gateway/src/entry_call.cpp
+++ b/libs/gateway/src/entry_call.cpp
@@ -1,6 +1,7 @@
 #include "entry_call.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gentianlug::gateway {
 
@@ -15,10 +16,10 @@
 /// may wait longer because the server has already spent work on the enclosing
 /// call.
 static constexpr double NestedQueueWaitFraction = 0.5;
-/// Minimum expected response size for which a call waits for a server in the
-/// local zone. Most refusals of such calls last only until a narrow link has
+/// Minimum expected transfer for which a call waits for a server in the local
+/// zone. Most refusals of such calls last only until a narrow link has
 /// sent the previous response.
-static constexpr std::size_t MinZoneWaitResponseBytes = 32UL << 10;
+static constexpr std::size_t MinZoneWaitBytes = 32UL << 10;
 /// This wait is limited to a fraction of the target latency and to a fixed
 /// maximum.
 static constexpr double ZoneWaitFraction = 0.25;
@@ -32,8 +33,8 @@
 static constexpr int HedgeDelayFactor = 4;
 /// ... but not before this fraction of the remaining time has passed.
 static constexpr double HedgeDelayFraction = 0.4;
-/// Weight of a response in the moving average of response sizes.
-static constexpr double ResponseSizeWeight = 0.1;
+/// Weight of a call in the averages of its route.
+static constexpr double RouteAverageWeight = 0.1;
 static constexpr std::size_t MaxTrackedRoutes = 10000;
 /// Mean Retry-After for refused calls, as a fraction of the target latency.
 static constexpr double RetryAfterFraction = 0.4;
@@ -76,16 +77,20 @@
 }
 
 mesh::selection_criteria entry_call::selectionCriteria() const {
-  auto AverageBytes = Entry.AverageResponseBytes.find(Plan.Route);
-  return {Plan.Service,
-          Version,
-          Entry.Location.Node,
-          Entry.Location.Zone,
-          Entry.ZonesOutOfService,
-          TriedNodes,
-          AverageBytes == Entry.AverageResponseBytes.end()
-              ? 0
-              : std::size_t(AverageBytes->second)};
+  auto Found = Entry.RouteAverages.find(Plan.Route);
+  route_averages Averages =
+      Found == Entry.RouteAverages.end() ? route_averages{} : Found->second;
+  return {.Service = Plan.Service,
+          .Version = Version,
+          .LocalNode = Entry.Location.Node,
+          .LocalZone = Entry.Location.Zone,
+          .ZonesOutOfService = Entry.ZonesOutOfService,
+          .TriedNodes = TriedNodes,
+          .ExpectedTransferBytes = std::size_t(Averages.ResponseBytes) +
+                                   Exchange->receivedRequest().Body.size(),
+          .TargetTime = Plan.TargetLatency - age(),
+          .UsualTime =
+              std::chrono::milliseconds(std::llround(Averages.AttemptMillis))};
 }
 
 void entry_call::startNextAttempt() {
@@ -112,7 +117,7 @@
 
 bool entry_call::shouldWaitForLocalZone(
     const mesh::selection_criteria &Criteria) const {
-  return Criteria.ExpectedResponseBytes >= MinZoneWaitResponseBytes &&
+  return Criteria.ExpectedTransferBytes >= MinZoneWaitBytes &&
          DeliveredAttempts == 0 &&
          age() < std::min(fractionOf(Plan.TargetLatency, ZoneWaitFraction),
                           MaxZoneWait) &&
@@ -165,7 +170,8 @@
                                [Self, Node](serving_result Result) {
                                  Self->onAttemptEnded(Node, std::move(Result));
                                });
-  RunningAttempts.push_back({Node, IsLocal, Ticket});
+  RunningAttempts.push_back(
+      {Node, IsLocal, Ticket, Entry.Context.Clock.steadyNow()});
   if (Plan.Idempotent && Plan.MaxAttempts > 1 && RunningAttempts.size() == 1)
     HedgeTimer.startOnce(
         std::max(fractionOf(remainingTime(), HedgeDelayFraction),
@@ -198,23 +204,27 @@
   return mesh::attempt_result::Failed;
 }
 
-void entry_call::countAttempt(const node_id &Node, serving_outcome Outcome) {
+std::chrono::milliseconds entry_call::countAttempt(const node_id &Node,
+                                                   serving_outcome Outcome) {
   auto Found = std::find_if(
       RunningAttempts.begin(), RunningAttempts.end(),
       [&](const running_attempt &Attempt) { return Attempt.Node == Node; });
   if (Found == RunningAttempts.end())
-    return;
+    return {};
   bool Delivered = Outcome != serving_outcome::Refused &&
                    Outcome != serving_outcome::Unreachable;
   if (Delivered && !Found->CountedAsDelivered)
     ++DeliveredAttempts;
   if (!Delivered && Found->CountedAsDelivered)
     --DeliveredAttempts;
+  auto Time = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Entry.Context.Clock.steadyNow() - Found->StartedAt);
   RunningAttempts.erase(Found);
+  return Time;
 }
 
 void entry_call::onAttemptEnded(const node_id &Node, serving_result Result) {
-  countAttempt(Node, Result.Outcome);
+  auto Time = countAttempt(Node, Result.Outcome);
   Entry.Balancer.onAttemptEnded(Node, toAttemptResult(Result), Result.Report,
                                 Entry.Context.Clock.steadyNow());
   if (Finished)
@@ -223,7 +233,7 @@
     recordAttemptOutcome(Node, Result.Reason);
   switch (Result.Outcome) {
   case serving_outcome::Answered:
-    return onServerResponse(std::move(Result));
+    return onServerResponse(std::move(Result), Time);
   case serving_outcome::Shed:
   case serving_outcome::Refused:
   case serving_outcome::Unreachable:
@@ -261,19 +271,27 @@
   startNextAttempt();
 }
 
-void entry_call::recordResponseSize(std::size_t Bytes) {
-  if (Entry.AverageResponseBytes.size() > MaxTrackedRoutes)
-    Entry.AverageResponseBytes.clear();
-  auto [Found, Added] =
-      Entry.AverageResponseBytes.try_emplace(Plan.Route, double(Bytes));
-  Found->second += ResponseSizeWeight * (double(Bytes) - Found->second);
+void entry_call::recordSuccess(std::size_t ResponseBytes,
+                               std::chrono::milliseconds AttemptTime) {
+  if (Entry.RouteAverages.size() > MaxTrackedRoutes)
+    Entry.RouteAverages.clear();
+  auto Bytes = double(ResponseBytes);
+  auto Millis = double(AttemptTime.count());
+  auto [Found, Added] = Entry.RouteAverages.try_emplace(
+      Plan.Route, route_averages{Bytes, Millis});
+  route_averages &Averages = Found->second;
+  Averages.ResponseBytes +=
+      RouteAverageWeight * (Bytes - Averages.ResponseBytes);
+  Averages.AttemptMillis +=
+      RouteAverageWeight * (Millis - Averages.AttemptMillis);
 }
 
-void entry_call::onServerResponse(serving_result Result) {
+void entry_call::onServerResponse(serving_result Result,
+                                  std::chrono::milliseconds AttemptTime) {
   constexpr int FirstServerError = 500;
   bool Failed = Result.Response.Status >= FirstServerError;
   if (!Failed)
-    recordResponseSize(Result.Response.Body.size());
+    recordSuccess(Result.Response.Body.size(), AttemptTime);
   if (Failed && Plan.Idempotent) {
     MayHaveRun = true;
     ServerErrorResponse = std::move(Result.Response);
--- a/libs/gateway/src/entry_call.h
+++ b/libs/gateway/src/entry_call.h
@@ -8,6 +8,12 @@
 
 namespace gentianlug::gateway {
 
+/// Moving averages over the successful calls of a route at this node.
+struct route_averages {
+  double ResponseBytes = 0;
+  double AttemptMillis = 0;
+};
+
 /// State of the entry task that is shared by its calls.
 struct entry_state {
   entry_state(task_context Context, node_location Location, serving_task &Local)
@@ -22,8 +28,7 @@
   mesh::version_policy Versions;
   std::set<zone_name> ZonesOutOfService;
   service_name LocalService;
-  /// Moving average of the response body size of each route, in bytes.
-  std::unordered_map<route_name, double> AverageResponseBytes;
+  std::unordered_map<route_name, route_averages> RouteAverages;
 };
 
 /// Parameters of a call, fixed when it arrives.
@@ -55,6 +60,7 @@
     node_id Node;
     bool IsLocal = false;
     call_transport::ticket Ticket = 0;
+    steady_time StartedAt;
     /// Counted in `DeliveredAttempts` before its result is known, because
     /// another attempt was started in parallel.
     bool CountedAsDelivered = false;
@@ -68,13 +74,16 @@
   call_transport &transportFor(bool IsLocal);
   void onAttemptEnded(const node_id &Node, serving_result Result);
   /// Removes the attempt at \p Node from the running ones and counts it if it
-  /// reached a server.
-  void countAttempt(const node_id &Node, serving_outcome Outcome);
+  /// reached a server. Returns the time that it took.
+  std::chrono::milliseconds countAttempt(const node_id &Node,
+                                         serving_outcome Outcome);
   /// Records how an attempt ended, for the log line of a failed call.
   void recordAttemptOutcome(const node_id &Node, const std::string &Outcome);
   void onAttemptRefused(const std::string &Reason);
-  void onServerResponse(serving_result Result);
-  void recordResponseSize(std::size_t Bytes);
+  void onServerResponse(serving_result Result,
+                        std::chrono::milliseconds AttemptTime);
+  void recordSuccess(std::size_t ResponseBytes,
+                     std::chrono::milliseconds AttemptTime);
   void onDeadline();
   void startHedgedAttempt();
   void onCallerDisconnected();
--- a/libs/mesh/include/gentianlug/mesh/load_balancer.h
+++ b/libs/mesh/include/gentianlug/mesh/load_balancer.h
@@ -38,21 +38,27 @@
   const std::set<zone_name> &ZonesOutOfService;
   /// Nodes that the call has already been sent to; excluded.
   const std::vector<node_id> &TriedNodes;
-  /// Estimated size of the response.
-  std::size_t ExpectedResponseBytes = 0;
+  /// Estimated size of the request and the response.
+  std::size_t ExpectedTransferBytes = 0;
   /// Select only servers of the local zone that are neither ejected nor
   /// rejecting calls.
   bool LocalZoneOnly = false;
+  /// Time within which the response has its full value; 0 if unknown.
+  std::chrono::milliseconds TargetTime{0};
+  /// Usual response time of calls of this route; 0 if unknown. The service
+  /// times that nodes report are averages over all routes.
+  std::chrono::milliseconds UsualTime{0};
 };
 
 /// Selects servers by expected response time, with preference for the local
 /// zone.
 ///
 /// Traffic between zones is expensive. Servers of the local zone are therefore
-/// preferred until they are overloaded or much slower than the best server in
-/// another zone; the larger the expected response, the stronger the preference.
-/// For large responses the server of the local node is preferred most, since
-/// its responses cross one network link less.
+/// preferred as long as they are expected to respond in time for the full value
+/// of the response, and beyond that until they are overloaded or much slower
+/// than the best server in another zone; the more bytes a call is expected to
+/// transfer, the stronger the preference. For large transfers the server of the
+/// local node is preferred most, since they cross one network link less.
 ///
 /// Servers that fail or cannot be reached are ejected for increasing times. If
 /// that leaves no server for a call, the half whose ejection ends first is
@@ -106,6 +112,7 @@
     }
     /// \param DefaultTime service time to use if none has been reported.
     double cost(steady_time Now, std::chrono::milliseconds DefaultTime) const;
+    double baseMillis(std::chrono::milliseconds DefaultTime) const;
     bool reportIsFresh(steady_time Now) const;
     /// Returns the reported service time; 0 before the first response.
     std::chrono::milliseconds reportedServiceTime() const {
@@ -113,6 +120,17 @@
     }
   };
 
+  /// Returns whether a server of the local zone is to be preferred to the best
+  /// server of all zones.
+  bool isPreferred(const endpoint &Endpoint, const selection_criteria &Criteria,
+                   double BestCost, std::chrono::milliseconds DefaultTime,
+                   steady_time Now) const;
+  /// Returns the time in which a call is expected to be answered, including its
+  /// time in the queue; failures count as additional time.
+  double expectedMillis(const endpoint &Endpoint,
+                        const selection_criteria &Criteria,
+                        std::chrono::milliseconds DefaultTime,
+                        steady_time Now) const;
   std::vector<const endpoint *> candidates(const selection_criteria &Criteria,
                                            steady_time Now) const;
   std::chrono::milliseconds
--- a/libs/mesh/src/load_balancer.cpp
+++ b/libs/mesh/src/load_balancer.cpp
@@ -5,9 +5,9 @@
 
 namespace gentianlug::mesh {
 
-/// For responses of this size or more, the server of the local node is
+/// For transfers of this size or more, the server of the local node is
 /// preferred.
-static constexpr std::size_t LocalNodeResponseBytes = 32UL << 10;
+static constexpr std::size_t LocalNodeTransferBytes = 32UL << 10;
 /// Older reports are ignored; then only the calls of this node count as load.
 static constexpr std::chrono::milliseconds ReportLifetime{1000};
 /// Service time of a service without any report.
@@ -16,11 +16,15 @@
 /// so that the average stays low when all servers of a zone turn slow for a few
 /// seconds.
 static constexpr double AverageServiceTimeWeight = 0.01;
-/// Limits up to which a server of the local zone is preferred, for responses of
-/// at least `MinResponseBytes`: its utilization, and its cost as a multiple of
-/// the cost of the best server in any zone.
+/// A server of the local zone is preferred if it is expected to respond within
+/// this part of the target time. The rest is for calls that take longer than
+/// the average.
+static constexpr double PreferredTargetPart = 0.6;
+/// Limits up to which a slower server of the local zone is preferred, for
+/// transfers of at least `MinTransferBytes`: its utilization, and its cost as a
+/// multiple of the cost of the best server in any zone.
 struct zone_preference {
-  std::size_t MinResponseBytes;
+  std::size_t MinTransferBytes;
   double MaxUtilization;
   double MaxCostFactor;
 };
@@ -54,14 +58,19 @@
   return std::max(0.0, Others) + InFlight;
 }
 
+double load_balancer::endpoint::baseMillis(
+    std::chrono::milliseconds DefaultTime) const {
+  auto Time =
+      reportedServiceTime().count() > 0 ? reportedServiceTime() : DefaultTime;
+  return double(std::max<long long>(Time.count(), 1)) *
+         (1 + FailurePenalty * FailureRate);
+}
+
 double
 load_balancer::endpoint::cost(steady_time Now,
                               std::chrono::milliseconds DefaultTime) const {
-  auto Time =
-      reportedServiceTime().count() > 0 ? reportedServiceTime() : DefaultTime;
-  double Base = double(std::max<long long>(Time.count(), 1));
   double RelativeLoad = (load(Now) + 1) / concurrencyLimit(Now);
-  return Base * (0.5 + RelativeLoad) * (1 + FailurePenalty * FailureRate);
+  return baseMillis(DefaultTime) * (0.5 + RelativeLoad);
 }
 
 void load_balancer::setServers(const std::vector<server_record> &Servers) {
@@ -155,6 +164,36 @@
   return DefaultTime;
 }
 
+double load_balancer::expectedMillis(const endpoint &Endpoint,
+                                     const selection_criteria &Criteria,
+                                     std::chrono::milliseconds DefaultTime,
+                                     steady_time Now) const {
+  double Millis = Endpoint.baseMillis(DefaultTime);
+  auto Average = AverageServiceMillis.find(Criteria.Service);
+  if (Criteria.UsualTime.count() > 0 && Average != AverageServiceMillis.end())
+    Millis *=
+        double(Criteria.UsualTime.count()) / std::max(Average->second, 1.0);
+  double RelativeLoad =
+      (Endpoint.load(Now) + 1) / Endpoint.concurrencyLimit(Now);
+  return Millis * std::max(1.0, RelativeLoad);
+}
+
+bool load_balancer::isPreferred(const endpoint &Endpoint,
+                                const selection_criteria &Criteria,
+                                double BestCost,
+                                std::chrono::milliseconds DefaultTime,
+                                steady_time Now) const {
+  if (expectedMillis(Endpoint, Criteria, DefaultTime, Now) <=
+      PreferredTargetPart * double(Criteria.TargetTime.count()))
+    return true;
+  const zone_preference *Preference = ZonePreferences;
+  while (Criteria.ExpectedTransferBytes < Preference->MinTransferBytes)
+    ++Preference;
+  return Endpoint.utilization(Now) < Preference->MaxUtilization &&
+         Endpoint.cost(Now, DefaultTime) <=
+             BestCost * Preference->MaxCostFactor;
+}
+
 const server_record *
 load_balancer::selectServer(const selection_criteria &Criteria, generator &Gen,
                             steady_time Now) const {
@@ -165,20 +204,16 @@
   double Best = Candidates.front()->cost(Now, DefaultTime);
   for (const endpoint *Each : Candidates)
     Best = std::min(Best, Each->cost(Now, DefaultTime));
-  const zone_preference *Preference = ZonePreferences;
-  while (Criteria.ExpectedResponseBytes < Preference->MinResponseBytes)
-    ++Preference;
   std::vector<const endpoint *> LocalCandidates;
   for (const endpoint *Each : Candidates) {
-    bool PreferLocalNode =
-        Each->Record.Node == Criteria.LocalNode &&
-        Criteria.ExpectedResponseBytes >= LocalNodeResponseBytes;
-    if (PreferLocalNode && Each->utilization(Now) < Preference->MaxUtilization)
+    if (Each->Record.Zone != Criteria.LocalZone)
+      continue;
+    if (!isPreferred(*Each, Criteria, Best, DefaultTime, Now))
+      continue;
+    if (Each->Record.Node == Criteria.LocalNode &&
+        Criteria.ExpectedTransferBytes >= LocalNodeTransferBytes)
       return &Each->Record;
-    if (Each->Record.Zone == Criteria.LocalZone &&
-        Each->utilization(Now) < Preference->MaxUtilization &&
-        Each->cost(Now, DefaultTime) <= Best * Preference->MaxCostFactor)
-      LocalCandidates.push_back(Each);
+    LocalCandidates.push_back(Each);
   }
   const auto &Pool = LocalCandidates.empty() ? Candidates : LocalCandidates;
   const endpoint *First = Pool[drawIndex(Gen, Pool.size())];
