--- a/libs/gateway/include/gentianlug/gateway/entry_task.h
+++ b/libs/gateway/include/gentianlug/gateway/entry_task.h
@@ -14,9 +14,6 @@
 struct node_location {
   node_id Node;
   zone_name Zone;
-  /// IP address of this machine, from which the server beside the node makes
-  /// its calls.
-  std::string Host;
   /// Bandwidth of this machine's link.
   std::uint32_t LinkMbps = 0;
 };
--- a/libs/gateway/include/gentianlug/gateway/serving_task.h
+++ b/libs/gateway/include/gentianlug/gateway/serving_task.h
@@ -23,6 +23,13 @@
   std::string HealthPath;
 };
 
+/// A call that is running at the server and has made a call itself.
+struct enclosing_call {
+  std::string CallId;
+  /// Another server has been sent the call before.
+  bool IsRetry = false;
+};
+
 /// Forwards calls from this node and from others to the server beside this
 /// node.
 ///
@@ -69,10 +76,13 @@
   /// Returns the number of response bytes that are still to be sent to other
   /// nodes.
   std::size_t unsentBytes() const;
-  /// The mesh rejected a call that the server made.
-  void onNestedCallRejected();
-  /// Returns the share of the calls running at the server that are retries.
-  double retryShare() const;
+  /// Returns the call running at the server for which the server makes the call
+  /// \p CallId, if any. The ID of such a call begins with that of the enclosing
+  /// call. Complexity: linear in the running calls.
+  std::optional<enclosing_call>
+  findEnclosingCall(const std::string &CallId) const;
+  /// The mesh rejected a call that the server made for the call \p EnclosingId.
+  void onNestedCallRejected(const std::string &EnclosingId);
   /// Sets the function that returns the unsent bytes of the node's other
   /// listeners on the same link.
   void setOtherUnsentBytesSource(std::function<std::size_t()> UnsentBytes);
--- a/libs/gateway/src/entry_call.cpp
+++ b/libs/gateway/src/entry_call.cpp
@@ -153,7 +153,7 @@
   Call.CallId = Plan.CallId;
   Call.RemainingTime = remainingTime();
   Call.MaxQueueTime =
-      Plan.QueuePriority == 0
+      !Plan.EnclosingId.empty()
           ? fractionOf(remainingTime(), NestedQueueWaitFraction)
           : std::max(std::chrono::milliseconds(0),
                      fractionOf(Plan.TargetLatency, QueueWaitFraction) - age());
@@ -383,8 +383,8 @@
 void entry_call::sendLocalResponse(int Status, const std::string &Reason) {
   constexpr int Unavailable = 503;
   std::optional<std::chrono::milliseconds> RetryAfter;
-  if (Status == Unavailable && Plan.QueuePriority == 0)
-    Entry.Local.onNestedCallRejected();
+  if (Status == Unavailable && !Plan.EnclosingId.empty())
+    Entry.Local.onNestedCallRejected(Plan.EnclosingId);
   if (Status == Unavailable)
     RetryAfter =
         drawJitter(Entry.Context.Gen,
--- a/libs/gateway/src/entry_call.h
+++ b/libs/gateway/src/entry_call.h
@@ -41,6 +41,9 @@
   bool Idempotent = false;
   std::uint32_t MaxAttempts = 1;
   std::uint32_t QueuePriority = 0;
+  /// ID of the call for which the local server makes this call; "" if it was
+  /// not made by the local server.
+  std::string EnclosingId;
   bool InheritedRetry = false;
   std::chrono::milliseconds TargetLatency{0};
   steady_time ArrivedAt;
--- a/libs/gateway/src/entry_task.cpp
+++ b/libs/gateway/src/entry_task.cpp
@@ -81,13 +81,13 @@
     Plan.Service = *Service;
     Plan.Idempotent = Route->Kind == mesh::call_kind::Idempotent;
     Plan.MaxAttempts = Route->MaxAttempts;
-    bool Nested = Exchange->clientAddress().Host == Entry.Location.Host;
-    Plan.QueuePriority = Nested ? 0 : Route->Priority + 1;
-    // A nested call does not identify its enclosing call. It is treated as
-    // caused by a retry with a probability equal to the share of retries among
-    // the running calls.
-    Plan.InheritedRetry =
-        Nested && drawBool(Entry.Context.Gen, Entry.Local.retryShare());
+    if (auto Enclosing = Entry.Local.findEnclosingCall(Parameters.CallId)) {
+      Plan.QueuePriority = mesh::NestedCallPriority;
+      Plan.EnclosingId = Enclosing->CallId;
+      Plan.InheritedRetry = Enclosing->IsRetry;
+    } else {
+      Plan.QueuePriority = mesh::NestedCallPriority + 1 + Route->Priority;
+    }
     Plan.TargetLatency = Route->TargetLatency;
     Plan.ArrivedAt = Entry.Context.Clock.steadyNow();
     Plan.Deadline =
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -3,7 +3,6 @@
 #include "gentianlug/core/weak_callback.h"
 #include "gentianlug/gateway/feed_task.h"
 #include "gentianlug/http1/client_pool.h"
-#include "gentianlug/mesh/nested_rejections.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/wire/rollout_values.h"
 
@@ -28,6 +27,8 @@
 /// Weight of a response in the moving average of response sizes.
 static constexpr double ResponseSizeWeight = 0.1;
 static constexpr std::size_t MaxTrackedRoutes = 10000;
+/// Shorter IDs of callers are not taken for the beginning of another ID.
+static constexpr std::size_t MinEnclosingIdLength = 8;
 
 namespace {
 
@@ -39,6 +40,8 @@
   steady_time Deadline;
   steady_time StartedAt{};
   std::optional<http1::client_pool::ticket> PoolTicket;
+  /// The mesh rejected a call that the server made for this call.
+  bool NestedCallRejected = false;
 };
 
 } // namespace
@@ -66,7 +69,6 @@
 
   std::unordered_map<route_name, double> AverageResponseBytes;
   std::function<std::size_t()> OtherUnsentBytes;
-  mesh::nested_rejections NestedRejections;
 
   impl(task_context Context, double LinkBytesPerSecond,
        http1::link_pacer &Pacer)
@@ -245,8 +247,7 @@
       addEvidence(Call, Failed, Time);
       recordResponseSize(Call.Call.Route, Result.Response.Body.size());
       http1::removeHopByHopFields(Result.Response.Headers);
-      bool NestedCallRejected =
-          Failed && NestedRejections.explainError(Call.StartedAt);
+      bool NestedCallRejected = Failed && Call.NestedCallRejected;
       return complete(Ticket, {serving_outcome::Answered,
                                std::move(Result.Response),
                                Failed ? "server-error" : "",
@@ -476,11 +477,23 @@
   return Evidence;
 }
 
-void serving_task::onNestedCallRejected() {
-  Impl->NestedRejections.onRejected(Impl->now());
+std::optional<enclosing_call>
+serving_task::findEnclosingCall(const std::string &CallId) const {
+  for (const auto &[Ticket, Running] : Impl->Calls) {
+    const std::string &Id = Running.Call.CallId;
+    if (Running.PoolTicket && Id.size() >= MinEnclosingIdLength &&
+        CallId.size() > Id.size() && CallId.starts_with(Id))
+      return enclosing_call{Id, Running.Call.IsRetry ||
+                                    Running.Call.InheritedRetry};
+  }
+  return std::nullopt;
 }
 
-double serving_task::retryShare() const { return Impl->Admission.retryShare(); }
+void serving_task::onNestedCallRejected(const std::string &EnclosingId) {
+  for (auto &[Ticket, Running] : Impl->Calls)
+    if (Running.Call.CallId == EnclosingId)
+      Running.NestedCallRejected = true;
+}
 
 void serving_task::setOtherUnsentBytesSource(
     std::function<std::size_t()> UnsentBytes) {
--- /dev/null
+++ b/libs/gateway/tests/serving_task_test.cpp
@@ -0,0 +1,105 @@
+#include "gentianlug/gateway/serving_task.h"
+#include "task_fixture.h"
+
+using namespace gentianlug;
+using namespace gentianlug::gateway;
+using namespace std::chrono_literals;
+using http1::freePort;
+using http1::runUntil;
+
+TEST_GROUP(ServingTask) {
+  task_environment Environment;
+  net::event_loop &Loop = Environment.Loop;
+  http1::link_pacer Pacer{Loop, 0};
+  serving_task Serving{Environment.context(), 0, Pacer};
+  std::vector<std::shared_ptr<http1::exchange>> ServerCalls;
+  http1::server Server{Loop, {}, [this](std::shared_ptr<http1::exchange> Call) {
+                         ServerCalls.push_back(std::move(Call));
+                       }};
+  std::optional<serving_result> Result;
+
+  void setup() override {
+    local_server Local;
+    Local.Address = {"127.0.0.1", freePort()};
+    Local.Service = service_name("s");
+    Local.Version = version_name("v1");
+    Local.Admission.Instance = "i";
+    Local.Admission.Slots = 5;
+    CHECK(bool(Server.listen(Local.Address, {})));
+    Serving.onRetryBounds({}, 1);
+    Serving.onServer(Local);
+    // The first announcement may be a late one; the second confirms the server.
+    Serving.onServerAnnounced(0ms);
+    Serving.onServerAnnounced(0ms);
+  }
+  void teardown() override { ServerCalls.clear(); }
+  void startCall(const std::string &Id, bool IsRetry = false) {
+    peer_call Call;
+    Call.Instance = "i";
+    Call.Route = route_name("r");
+    Call.CallId = Id;
+    Call.RemainingTime = 5s;
+    Call.IsRetry = IsRetry;
+    std::size_t Before = ServerCalls.size();
+    http1::request Request;
+    Request.Method = "GET";
+    Request.Target = "/";
+    Request.Headers.add("Host", "h");
+    Serving.send({}, Call, Request,
+                 [&](serving_result Next) { Result = std::move(Next); });
+    runUntil(Loop, [&] { return ServerCalls.size() > Before; });
+  }
+  void respond(int Status) {
+    ServerCalls.back()->respond(http1::makeStatusResponse(Status));
+    runUntil(Loop, [&] { return Result.has_value(); });
+  }
+};
+
+// Guards against calls of callers that are taken for nested ones: all calls
+// then had the highest priority.
+TEST(ServingTask, NestedCallsAreRecognizedByTheRunningCall) {
+  CHECK_FALSE(Serving.findEnclosingCall("0123456789.ab").has_value());
+  startCall("0123456789");
+  auto Enclosing = Serving.findEnclosingCall("0123456789.ab");
+  CHECK(Enclosing.has_value());
+  STRCMP_EQUAL("0123456789", Enclosing->CallId.c_str());
+  CHECK_FALSE(Enclosing->IsRetry);
+  CHECK_FALSE(Serving.findEnclosingCall("0123456789").has_value());
+  CHECK_FALSE(Serving.findEnclosingCall("9876543210.ab").has_value());
+  respond(200);
+  CHECK_FALSE(Serving.findEnclosingCall("0123456789.ab").has_value());
+}
+
+// Guards against retries of nested calls that do not count as such.
+TEST(ServingTask, NestedCallsOfRetriesAreRecognized) {
+  startCall("0123456789", true);
+  CHECK(Serving.findEnclosingCall("0123456789.ab")->IsRetry);
+}
+
+// Guards against callers with short or empty IDs that promote other calls.
+TEST(ServingTask, ShortIdsEncloseNoCall) {
+  startCall("1");
+  startCall("");
+  CHECK_FALSE(Serving.findEnclosingCall("123456789").has_value());
+}
+
+// Guards against retries of calls whose server failed because the mesh had
+// rejected its own calls: they used up the retry budget of the service that
+// rejected, so that nearly none of its calls were retried directly.
+TEST(ServingTask, ErrorAfterRejectedNestedCallIsMarked) {
+  startCall("0123456789");
+  Serving.onNestedCallRejected("0123456789");
+  respond(500);
+  CHECK(Result->NestedCallRejected);
+  Result.reset();
+  startCall("0123456789");
+  respond(500);
+  CHECK_FALSE(Result->NestedCallRejected);
+}
+
+TEST(ServingTask, SuccessAfterRejectedNestedCallIsASuccess) {
+  startCall("0123456789");
+  Serving.onNestedCallRejected("0123456789");
+  respond(200);
+  CHECK_FALSE(Result->NestedCallRejected);
+}
--- a/libs/mesh/include/gentianlug/mesh/server_admission.h
+++ b/libs/mesh/include/gentianlug/mesh/server_admission.h
@@ -45,12 +45,15 @@
 /// Returns the name of the reason that is used in logs and messages.
 const char *describe(rejection_reason Reason);
 
+/// Queue priority of calls that a server makes for a call that it runs.
+inline constexpr std::uint32_t NestedCallPriority = 0;
+
 /// A call that is to be run by the server.
 struct incoming_call {
   local_call_id Id = 0;
   /// Instance id of the server that the call is addressed to; "" for any.
   std::string Instance;
-  /// 0 is the highest.
+  /// 0 is the highest, see `NestedCallPriority`.
   std::uint32_t QueuePriority = 0;
   steady_time Deadline{};
   /// Longest time that the call may wait in the queue.
@@ -115,8 +118,6 @@
 
   load_report report(steady_time Now) const;
   std::uint32_t running() const { return std::uint32_t(Running.size()); }
-  /// Returns the share of the running calls that are retries.
-  double retryShare() const;
   bool confirmed() const { return Confirmed; }
   bool isCold(steady_time Now) const { return Now < ColdUntil; }
   const std::optional<admitted_server> &server() const { return Server; }
@@ -126,10 +127,6 @@
     incoming_call Call;
     steady_time ExpiresAt;
   };
-  struct running_call {
-    bool IsRetry = false;
-    std::size_t ExpectedResponseBytes = 0;
-  };
 
   std::optional<rejection_reason> findRejection(const incoming_call &Call,
                                                 steady_time Now) const;
@@ -147,7 +144,8 @@
   steady_time ColdUntil{};
   retry_budget RetryBudget;
   std::vector<queued_call> Queue;
-  std::unordered_map<local_call_id, running_call> Running;
+  /// Expected response size of each running call, in bytes.
+  std::unordered_map<local_call_id, std::size_t> Running;
   double LinkBytesPerSecond = 0;
   std::size_t UnsentBytes = 0;
   /// Start times within `ColdStartWindow`, oldest first.
--- a/libs/mesh/src/server_admission.cpp
+++ b/libs/mesh/src/server_admission.cpp
@@ -107,25 +107,15 @@
   if (LinkBytesPerSecond <= 0)
     return std::chrono::milliseconds(0);
   auto Bytes = double(UnsentBytes);
-  for (const auto &[Id, Call] : Running)
-    Bytes += double(Call.ExpectedResponseBytes);
+  for (const auto &[Id, ResponseBytes] : Running)
+    Bytes += double(ResponseBytes);
   constexpr double MillisPerSecond = 1000;
   return std::chrono::milliseconds(
       std::llround(Bytes / LinkBytesPerSecond * MillisPerSecond));
 }
 
-double server_admission::retryShare() const {
-  if (Running.empty())
-    return 0;
-  auto Retries =
-      std::count_if(Running.begin(), Running.end(),
-                    [](const auto &Each) { return Each.second.IsRetry; });
-  return double(Retries) / double(Running.size());
-}
-
 void server_admission::start(const incoming_call &Call, steady_time Now) {
-  Running.emplace(Call.Id, running_call{Call.IsRetry || Call.InheritedRetry,
-                                        Call.ExpectedResponseBytes});
+  Running.emplace(Call.Id, Call.ExpectedResponseBytes);
   RecentStarts.push_back(Now);
   if (Call.InheritedRetry)
     RetryBudget.onInheritedRetry();
