--- a/libs/gateway/src/peer_transport.cpp
+++ b/libs/gateway/src/peer_transport.cpp
@@ -1,5 +1,7 @@
 #include "peer_transport.h"
 
+#include "response_limits.h"
+
 namespace gentianlug::gateway {
 
 /// Time after which a node that accepts no connection counts as unreachable.
@@ -12,7 +14,7 @@
 static constexpr std::chrono::milliseconds PeerUnacknowledgedTimeout{700};
 
 peer_transport::peer_transport(net::event_loop &Loop)
-    : Pool(Loop, {256UL << 10, 128UL << 20},
+    : Pool(Loop, ResponseLimits,
            {PeerUnacknowledgedTimeout, std::chrono::seconds(1)}) {}
 
 call_transport::ticket peer_transport::send(const mesh::server_record &Target,
--- a/libs/gateway/src/rollout_task.cpp
+++ b/libs/gateway/src/rollout_task.cpp
@@ -21,6 +21,9 @@
 /// Minimum share of errors among the calls, required in addition.
 static constexpr double MinQuarantineErrorShare = 0.25;
 static constexpr std::chrono::milliseconds EvidenceConnectTimeout{300};
+/// Time after which a controller that has accepted evidence counts as silent.
+static constexpr std::chrono::milliseconds EvidenceTimeout{1000};
+static constexpr std::chrono::milliseconds EvidenceMaxIdle{5000};
 
 namespace {
 
@@ -56,7 +59,8 @@
   http1::client_pool Peers;
   net::timer EvaluationTimer;
   bool Evaluating = false;
-  bool EvidencePending = false;
+  std::optional<http1::client_pool::ticket> ActiveEvidence;
+  net::timer EvidenceTimeoutTimer;
   bool Quarantined = false;
   std::function<void()> QuarantineHandler;
   std::uint64_t LocalCalls = 0;
@@ -70,7 +74,8 @@
       : Context(Context), Node(std::move(Node)),
         NodeAddress(std::move(NodeAddress)), Store(Store), Serving(Serving),
         Peers(Context.Loop, {}, {}),
-        EvaluationTimer(Context.Loop, [this] { evaluate(); }) {}
+        EvaluationTimer(Context.Loop, [this] { evaluate(); }),
+        EvidenceTimeoutTimer(Context.Loop, [this] { onEvidenceTimeout(); }) {}
 
   const mesh::rollout_record *activeRollout() const {
     if (!Server)
@@ -209,26 +214,36 @@
 
   void sendEvidence(const rollout::server_evidence &Evidence,
                     const address &To) {
-    if (EvidencePending)
+    if (ActiveEvidence)
       return;
-    EvidencePending = true;
     http1::request Request;
     Request.Method = "POST";
     Request.Target = EvidencePath;
     Request.Headers.add("Host", To.str());
     Request.Body = wire::encode(Evidence);
-    Peers.send(To, std::move(Request),
-               {EvidenceConnectTimeout, std::chrono::seconds(5), ""},
-               [this](http1::send_result Result) {
-                 EvidencePending = false;
-                 constexpr int Ok = 200;
-                 if (Result.Outcome == http1::send_outcome::Responded &&
-                     Result.Response.Status == Ok)
-                   LastControllerContact = Context.Clock.steadyNow();
-                 else
-                   Context.Log.write(event::EvidenceLost,
-                                     {{"service", TrackedTarget.str()}});
-               });
+    EvidenceTimeoutTimer.startOnce(EvidenceTimeout);
+    ActiveEvidence = Peers.send(
+        To, std::move(Request), {EvidenceConnectTimeout, EvidenceMaxIdle, ""},
+        [this](http1::send_result Result) {
+          ActiveEvidence.reset();
+          EvidenceTimeoutTimer.cancel();
+          constexpr int Ok = 200;
+          if (Result.Outcome == http1::send_outcome::Responded &&
+              Result.Response.Status == Ok)
+            LastControllerContact = Context.Clock.steadyNow();
+          else
+            logLostEvidence();
+        });
+  }
+
+  void onEvidenceTimeout() {
+    if (auto Ticket = std::exchange(ActiveEvidence, std::nullopt))
+      Peers.cancel(*Ticket);
+    logLostEvidence();
+  }
+
+  void logLostEvidence() {
+    Context.Log.write(event::EvidenceLost, {{"service", TrackedTarget.str()}});
   }
 
   void advanceRollout() {
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -5,6 +5,7 @@
 #include "gentianlug/http1/client_pool.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/wire/rollout_values.h"
+#include "response_limits.h"
 
 #include <map>
 #include <unordered_map>
@@ -72,7 +73,7 @@
 
   impl(task_context Context, double LinkBytesPerSecond,
        http1::link_pacer &Pacer)
-      : Context(Context), Pacer(Pacer), Pool(Context.Loop, {}, {}),
+      : Context(Context), Pacer(Pacer), Pool(Context.Loop, ResponseLimits, {}),
         AdmissionTimer(Context.Loop, [this] { advance(); }),
         ProbeTimer(Context.Loop, [this] { probe(); }),
         ProbeTimeoutTimer(Context.Loop, [this] { onProbeTimeout(); }) {
--- a/libs/gateway/tests/rollout_task_test.cpp
+++ b/libs/gateway/tests/rollout_task_test.cpp
@@ -165,3 +165,21 @@
   awaitEvaluations();
   CHECK_EQUAL(1, Store.BaseVersionWrites);
 }
+
+// Guards against a node that sends no evidence any more after one controller
+// has accepted a connection and never answered.
+TEST(RolloutTask, SilentControllerDoesNotStopTheEvidence) {
+  std::vector<std::shared_ptr<http1::exchange>> Received;
+  http1::server Controller(Environment.Loop, {},
+                           [&](std::shared_ptr<http1::exchange> Exchange) {
+                             Received.push_back(std::move(Exchange));
+                           });
+  mesh::rollout_record Record = record(mesh::rollout_stage::Running);
+  Record.Controller = node_id("n2");
+  Record.ControllerAddress = {"127.0.0.1", http1::freePort()};
+  CHECK(bool(Controller.listen(Record.ControllerAddress, {})));
+  Environment.Clock.advance(0ms);
+  setServer(true);
+  setRollout(Record);
+  runUntil(Environment.Loop, [&] { return Received.size() == 2; });
+}
--- a/libs/http1/include/gentianlug/http1/message_reader.h
+++ b/libs/http1/include/gentianlug/http1/message_reader.h
@@ -14,6 +14,9 @@
   /// Limit for the start line and the header fields together.
   std::size_t MaxHeadBytes = 64UL << 10;
   std::size_t MaxBodyBytes = 64UL << 20;
+  /// Limit for the bodies that a client pool is receiving at a time, over all
+  /// its connections.
+  std::size_t MaxTotalBodyBytes = 64UL << 20;
 };
 
 enum class message_kind { Request, Response };
@@ -55,6 +58,8 @@
   void expectNoBody();
 
   reader_state state() const;
+  /// Returns the size of the body that has been read so far.
+  std::size_t bodyBytes() const;
   reader_fault fault() const;
   /// Returns whether the client waits for a `100 Continue` response before it
   /// sends the body.
--- a/libs/http1/src/client_pool.cpp
+++ b/libs/http1/src/client_pool.cpp
@@ -70,13 +70,16 @@
   connection_callback OnIdle;
   /// Called when the connection is closed.
   connection_callback OnClose;
+  /// Called after bytes of a body have been read; returns false if the bodies
+  /// of all connections take too much memory.
+  std::function<bool()> OnBodyGrown;
 
   void start(request Request, const send_options &Options,
              client_pool::callback Callback) {
     OnComplete = std::move(Callback);
     EchoedHeader = Options.EchoedHeader;
-    if (const std::string *Value = Request.Headers.find(EchoedHeader))
-      ExpectedEcho = *Value;
+    const std::string *Echo = Request.Headers.find(EchoedHeader);
+    ExpectedEcho = Echo ? *Echo : "";
     if (Request.Method == "HEAD")
       Reader.expectNoBody();
     std::string Head = encodeHead(Request);
@@ -141,7 +144,9 @@
       const auto *Bytes =
           reinterpret_cast<const char *>(evbuffer_pullup(Input, ssize_t(Size)));
       evbuffer_drain(Input, Reader.feed({Bytes, Size}));
-      if (Reader.state() == reader_state::Failed) {
+      bool TooMuch =
+          Reader.state() == reader_state::Body && OnBodyGrown && !OnBodyGrown();
+      if (Reader.state() == reader_state::Failed || TooMuch) {
         Reusable = false;
         return complete(send_outcome::Malformed, {});
       }
@@ -232,6 +237,10 @@
       if (auto Self = Weak.lock())
         Self->remove(Connection);
     };
+    NewConnection->OnBodyGrown = [Weak] {
+      auto Self = Weak.lock();
+      return !Self || Self->bodyBytes() <= Self->Limits.MaxTotalBodyBytes;
+    };
     ++Opened;
     return NewConnection;
   }
@@ -248,6 +257,14 @@
     IdleConnections.push_back(std::move(Self));
   }
 
+  /// Returns the size of the bodies that are being received.
+  std::size_t bodyBytes() const {
+    std::size_t Bytes = 0;
+    for (const auto &[Ticket, Connection] : Active)
+      Bytes += Connection->Reader.bodyBytes();
+    return Bytes;
+  }
+
   void removeActive(pooled_connection &Connection) {
     Active.erase(Connection.Ticket);
   }
--- a/libs/http1/src/message_reader.cpp
+++ b/libs/http1/src/message_reader.cpp
@@ -52,16 +52,21 @@
     return 1;
   }
 
+  /// Trailer fields are counted, but not kept: they must not change a message
+  /// whose header fields have been checked.
+  bool inTrailer() const { return State == reader_state::Body; }
+
   int appendToHead(std::string &Text, const char *Data, std::size_t Size) {
     HeadBytes += Size;
     if (HeadBytes > Limits.MaxHeadBytes)
       return fail(reader_fault::HeadTooLarge);
-    Text.append(Data, Size);
+    if (!inTrailer())
+      Text.append(Data, Size);
     return 0;
   }
 
   void finishField() {
-    if (!ValueSeen)
+    if (!ValueSeen || inTrailer())
       return;
     Headers.add(std::exchange(Name, {}), std::exchange(Value, {}));
     ValueSeen = false;
@@ -166,6 +171,8 @@
 message_reader::message_reader(message_reader &&) noexcept = default;
 message_reader &message_reader::operator=(message_reader &&) noexcept = default;
 
+std::size_t message_reader::bodyBytes() const { return Impl->Body.size(); }
+
 std::size_t message_reader::feed(std::string_view Bytes) {
   if (Impl->State == reader_state::Complete ||
       Impl->State == reader_state::Failed || Bytes.empty())
--- a/libs/http1/tests/client_pool_test.cpp
+++ b/libs/http1/tests/client_pool_test.cpp
@@ -51,6 +51,22 @@
     ::send(AcceptedFds.at(Connection), Bytes.data(), Bytes.size(),
            MSG_NOSIGNAL);
   }
+  /// Sends \p Bytes again and again until the peer closes the connection or
+  /// does not read for a moment. Returns the number of bytes sent in all.
+  std::size_t respondEndlessly(const std::string &Bytes) {
+    ssize_t Count = 0;
+    while ((Count = ::send(AcceptedFds.at(0), Bytes.data(), Bytes.size(),
+                           MSG_NOSIGNAL | MSG_DONTWAIT)) > 0)
+      EndlessBytes += std::size_t(Count);
+    return EndlessBytes;
+  }
+  void reset(std::size_t Connection) {
+    linger Immediately{1, 0};
+    setsockopt(AcceptedFds.at(Connection), SOL_SOCKET, SO_LINGER, &Immediately,
+               sizeof Immediately);
+    close(AcceptedFds.at(Connection));
+    AcceptedFds.erase(AcceptedFds.begin() + std::ptrdiff_t(Connection));
+  }
   void disconnect(std::size_t Connection) const {
     shutdown(AcceptedFds.at(Connection), SHUT_RDWR);
   }
@@ -61,6 +77,7 @@
 
 private:
   int Fd;
+  std::size_t EndlessBytes = 0;
 };
 
 } // namespace
@@ -180,3 +197,134 @@
   awaitResults(1);
   CHECK(Results[0].Outcome == send_outcome::Malformed);
 }
+
+// Guards against a late second copy of a response that the next request on the
+// connection receives, if that request expects no echo.
+TEST(ClientPool, LateCopyIsNotTakenForAResponseWithoutEcho) {
+  send("a1");
+  awaitRequests(1);
+  Peer.respond(0, responseTo("a1"));
+  awaitResults(1);
+  request Probe;
+  Probe.Method = "GET";
+  Probe.Target = "/health";
+  Pool.send(Peer.Address, Probe,
+            {std::chrono::seconds(2), std::chrono::seconds(5), "Id"},
+            [this](send_result Result) { Results.push_back(Result); });
+  awaitRequests(2);
+  Peer.respond(0, responseTo("a1") +
+                      "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n");
+  awaitResults(2);
+  LONGS_EQUAL(204, Results[1].Response.Status);
+}
+
+// Guards against a response without a length that looks complete although its
+// connection was reset.
+TEST(ClientPool, ResetEndsAResponseWithoutLengthIncomplete) {
+  send("a1");
+  awaitRequests(1);
+  Peer.respond(0, "HTTP/1.1 200 OK\r\nId: a1\r\n\r\nabc");
+  Peer.reset(0);
+  awaitResults(1);
+  CHECK(Results[0].Outcome == send_outcome::ConnectionLost);
+}
+
+// Guards against a chunked response that ends after a chunk and looks complete.
+TEST(ClientPool, ChunkedResponseWithoutItsEndIsIncomplete) {
+  send("a1");
+  awaitRequests(1);
+  Peer.respond(0, "HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: "
+                  "chunked\r\n\r\n3\r\nabc\r\n");
+  Peer.disconnect(0);
+  awaitResults(1);
+  CHECK(Results[0].Outcome == send_outcome::ConnectionLost);
+}
+
+TEST_GROUP(EndlessResponse) {
+  static constexpr std::size_t MaxBodyBytes = 1UL << 20;
+  net::event_loop Loop;
+  byte_listener Peer;
+  client_pool Pool{Loop, {64UL << 10, MaxBodyBytes, 2 * MaxBodyBytes}, {}};
+  std::vector<send_result> Results;
+
+  void send() {
+    request Request;
+    Request.Method = "GET";
+    Request.Target = "/";
+    Pool.send(Peer.Address, Request, {},
+              [this](send_result Result) { Results.push_back(Result); });
+  }
+  /// Returns the bytes that the server could send before its connection was
+  /// closed.
+  std::size_t bytesUntilClosed(const std::string &Start,
+                               const std::string &Repeated) {
+    send();
+    runUntil(Loop, [&] { return Peer.requests() == 1; });
+    Peer.respond(0, Start);
+    std::size_t Sent = 0;
+    runUntil(Loop, [&] {
+      Sent = Peer.respondEndlessly(Repeated);
+      return !Results.empty();
+    });
+    CHECK(Results[0].Outcome == send_outcome::Malformed);
+    return Sent;
+  }
+};
+
+/// Bytes that the kernel may hold for one connection, in both directions.
+static constexpr std::size_t SocketBufferBytes = 16UL << 20;
+
+// Guards against bytes without end that exhaust the memory of the node or keep
+// the call until its deadline.
+TEST(EndlessResponse, HeadEndsTheConnection) {
+  CHECK(bytesUntilClosed("HTTP/1.1 200 OK\r\nX: ", std::string(1000, 'x')) <
+        SocketBufferBytes);
+}
+
+TEST(EndlessResponse, HeaderFieldsEndTheConnection) {
+  CHECK(bytesUntilClosed("HTTP/1.1 200 OK\r\n", "X: y\r\n") <
+        SocketBufferBytes);
+}
+
+TEST(EndlessResponse, InterimResponsesEndTheConnection) {
+  CHECK(bytesUntilClosed("", "HTTP/1.1 100 Continue\r\n\r\n") <
+        SocketBufferBytes);
+}
+
+TEST(EndlessResponse, BodyWithoutLengthEndsTheConnection) {
+  CHECK(bytesUntilClosed("HTTP/1.1 200 OK\r\n\r\n", std::string(1000, 'x')) <
+        SocketBufferBytes + MaxBodyBytes);
+}
+
+TEST(EndlessResponse, ChunksEndTheConnection) {
+  CHECK(bytesUntilClosed("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                         "chunked\r\n\r\n",
+                         "5\r\nabcde\r\n") <
+        SocketBufferBytes + 4 * MaxBodyBytes);
+}
+
+TEST(EndlessResponse, ChunkExtensionEndsTheConnection) {
+  CHECK(bytesUntilClosed("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                         "chunked\r\n\r\n5;",
+                         std::string(1000, 'x')) < SocketBufferBytes);
+}
+
+TEST(EndlessResponse, TrailersEndTheConnection) {
+  CHECK(bytesUntilClosed("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                         "chunked\r\n\r\n0\r\n",
+                         "X: y\r\n") < SocketBufferBytes);
+}
+
+// Guards against many servers that exhaust the memory together: each response
+// is within its limit.
+TEST(EndlessResponse, ConcurrentResponsesShareALimit) {
+  for (int Count = 0; Count < 4; ++Count)
+    send();
+  runUntil(Loop, [&] { return Peer.requests() == 4; });
+  std::string Body(MaxBodyBytes - 1000, 'x');
+  for (std::size_t Index = 0; Index < 4; ++Index)
+    Peer.respond(Index, "HTTP/1.1 200 OK\r\n\r\n" + Body);
+  runUntil(Loop, [&] { return Results.size() == 2; });
+  for (const send_result &Each : Results)
+    CHECK(Each.Outcome == send_outcome::Malformed);
+}
--- a/libs/http1/tests/message_reader_test.cpp
+++ b/libs/http1/tests/message_reader_test.cpp
@@ -96,6 +96,19 @@
   CHECK_FALSE(Response.KeepAlive);
 }
 
+// Guards against trailers that change the meaning of a message after its
+// header fields have been checked.
+TEST(MessageReader, TrailersAreNoHeaderFields) {
+  auto Reader = requestReader({});
+  Reader.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+              "\r\n1\r\na\r\n0\r\nX-Late: 1\r\nHost: other\r\n\r\n");
+  CHECK(Reader.state() == reader_state::Complete);
+  request Request = Reader.takeRequest();
+  STRCMP_EQUAL("a", Request.Body.c_str());
+  STRCMP_EQUAL("h", Request.Headers.find("host")->c_str());
+  POINTERS_EQUAL(nullptr, Request.Headers.find("x-late"));
+}
+
 TEST(MessageReader, SkipsInterimResponses) {
   message_reader Reader(message_kind::Response, {});
   Reader.feed("HTTP/1.1 100 Continue\r\n\r\n"
