--- a/libs/mesh/include/gentianlug/mesh/rollout_controller.h
+++ b/libs/mesh/include/gentianlug/mesh/rollout_controller.h
@@ -6,6 +6,7 @@
 #include "gentianlug/rollout/evidence.h"
 #include "gentianlug/rollout/sequential_evaluator.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 
@@ -57,6 +58,9 @@
   rollout_record makeRecord(rollout_stage Stage, double Share,
                             std::string Reason, steady_time Now) const;
   bool errorsWithinTolerance() const;
+  /// Returns the error rate of the old version: since the start, or in its last
+  /// periods with calls if that is higher.
+  double oldErrorRate() const;
 
   rollout_record Record;
   version_name OldVersion;
@@ -65,6 +69,9 @@
   rollout::verdict LastVerdict;
   version_counts OldCounts;
   version_counts NewCounts;
+  /// `OldCounts` after each of the last evaluations until the switch, oldest
+  /// first; at most `RecentEvaluations`.
+  std::deque<version_counts> RecentOldCounts;
   /// When `Record.Elapsed` was current.
   steady_time ElapsedObservedAt;
   /// When the stage or the share last changed.
--- a/libs/mesh/src/rollout_controller.cpp
+++ b/libs/mesh/src/rollout_controller.cpp
@@ -25,6 +25,10 @@
 /// version may be up to twice that of the old version, but no more than this
 /// above it.
 static constexpr double MaxToleratedErrorIncrease = 0.1;
+/// Number of evaluations whose calls of the old version count as recent, 3 s. A
+/// fault of all servers that begins shortly before the switch hits most calls
+/// of the new version, but few of all calls of the old one.
+static constexpr std::size_t RecentEvaluations = 12;
 /// Errors of the new version that are tolerated in addition.
 static constexpr double ToleratedErrorCount = 2;
 /// Until then a switched rollout waits for `MinNewVersionCalls`.
@@ -58,6 +62,11 @@
 }
 
 void rollout_controller::evaluate() {
+  if (Record.Stage != rollout_stage::Switching) {
+    RecentOldCounts.push_back(OldCounts);
+    if (RecentOldCounts.size() > RecentEvaluations)
+      RecentOldCounts.pop_front();
+  }
   if (LastVerdict.Kind != rollout::verdict_kind::Fail)
     LastVerdict = Evaluator.evaluate();
 }
@@ -86,10 +95,23 @@
   return Next;
 }
 
+static double errorRate(const version_counts &Counts) {
+  return Counts.Calls == 0 ? 0 : double(Counts.Errors) / double(Counts.Calls);
+}
+
+double rollout_controller::oldErrorRate() const {
+  double Rate = errorRate(OldCounts);
+  if (RecentOldCounts.empty())
+    return Rate;
+  const version_counts &First = RecentOldCounts.front();
+  const version_counts &Last = RecentOldCounts.back();
+  version_counts Recent{Last.Calls - First.Calls, Last.Errors - First.Errors};
+  return Recent.Calls < MinNewVersionCalls ? Rate
+                                           : std::max(Rate, errorRate(Recent));
+}
+
 bool rollout_controller::errorsWithinTolerance() const {
-  double OldRate = OldCounts.Calls == 0
-                       ? 0
-                       : double(OldCounts.Errors) / double(OldCounts.Calls);
+  double OldRate = oldErrorRate();
   double ToleratedRate = OldRate + std::min(OldRate, MaxToleratedErrorIncrease);
   double Tolerated =
       ToleratedErrorCount + ToleratedRate * double(NewCounts.Calls);
--- a/libs/mesh/tests/rollout_controller_test.cpp
+++ b/libs/mesh/tests/rollout_controller_test.cpp
@@ -158,6 +158,18 @@
   CHECK(double(NewCalls) <= 0.1 * double(AllCalls) + 50);
 }
 
+// Guards against a good version that is rolled back because of a fault that
+// hits all servers shortly before the switch: it gets most of its calls then,
+// while the old version has a long time without the fault behind it.
+TEST(RolloutController, FaultOfAllServersAroundTheSwitchIsNoFaultOfTheVersion) {
+  while (Controller->record().TrafficShare < 0.15)
+    runPeriod();
+  OldErrorRate = NewErrorRate = 0.18;
+  runUntilEnd();
+  STRCMP_EQUAL("running/5 running/15 switching/100 completed/100",
+               Written.c_str());
+}
+
 TEST(RolloutController, VersionWithoutServersIsRolledBackInTime) {
   runUntilEnd(0);
   STRCMP_EQUAL("rolled-back/0", Written.c_str());
