--- a/libs/gateway/include/gentianlug/gateway/peer_call.h
+++ b/libs/gateway/include/gentianlug/gateway/peer_call.h
@@ -17,6 +17,7 @@
   std::string Instance;
   route_name Route;
   service_name CallerService;
+  /// Empty in a message if it is that of the request.
   std::string CallId;
   /// Time until the deadline.
   std::chrono::milliseconds RemainingTime{0};
--- a/libs/gateway/src/peer_transport.cpp
+++ b/libs/gateway/src/peer_transport.cpp
@@ -22,7 +22,10 @@
                                             const http1::request &Request,
                                             callback Done) {
   http1::request Copy = Request;
-  writePeerCall(Copy, Call);
+  // The request carries the ID already, and bytes between zones are expensive.
+  peer_call Sent = Call;
+  Sent.CallId.clear();
+  writePeerCall(Copy, Sent);
   return Pool.send(
       Target.NodeAddress, std::move(Copy),
       {PeerConnectTimeout, PeerMaxIdle, ""},
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -111,6 +111,10 @@
       Exchange->respond(http1::makeStatusResponse(BadRequest));
       return;
     }
+    if (Call->CallId.empty())
+      Call->CallId =
+          Context.Dialect.readCallParameters(Exchange->receivedRequest())
+              .CallId;
     ticket Ticket =
         enqueue(*Call, std::move(Exchange->receivedRequest()),
                 [Exchange](serving_result Result) {
