--- a/libs/mesh/src/load_balancer.cpp
+++ b/libs/mesh/src/load_balancer.cpp
@@ -19,7 +19,7 @@
 /// A server of the local zone is preferred if it is expected to respond within
 /// this part of the target time. The rest is for calls that take longer than
 /// the average.
-static constexpr double PreferredTargetPart = 0.6;
+static constexpr double PreferredTargetPart = 0.75;
 /// Limits up to which a slower server of the local zone is preferred, for
 /// transfers of at least `MinTransferBytes`: its utilization, and its cost as a
 /// multiple of the cost of the best server in any zone.
