--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -182,10 +182,11 @@
   }
 
   /// Serves followers although this node is not the relay, unless it cannot
-  /// reach the store either.
+  /// reach the store either. A poll also tells a node that took the store for
+  /// unreachable that a follower can reach it again.
   void startSubstituting() {
     LastSubstitutePoll = Context.Clock.steadyNow();
-    if (servesFollowers() || StoreUnreachable)
+    if (servesFollowers())
       return;
     Substituting = true;
     Context.Log.write(event::RelayGained,
