Let the record of a rollout alone decide the version in use

Cause: the decision stood in two objects. The controller overwrote the base version, without a revision, before it wrote the completed record, and decided anew in between; a rolled-back record named no version, so all nodes read the base version. A lost answer, a controller that ends or freezes, and a write that is carried out late lead there alike.

Change: the status of the rollout names the base version and alone decides. The stored base version is a copy under a revision; after it is stored the next step is decided again, and one node corrects the copy once the rollout is finished. ServiceUnreachable and services_unreachable report services whose ready servers are all of another version.

--- a/libs/gateway/include/gentianlug/gateway/gateway_node.h
+++ b/libs/gateway/include/gentianlug/gateway/gateway_node.h
@@ -57,7 +57,8 @@
   void onConfiguration(
       std::shared_ptr<const mesh::mesh_configuration> Next) override;
   void onServers(std::vector<mesh::server_record> Servers) override;
-  void onBaseVersions(std::map<service_name, version_name> Versions) override;
+  void
+  onBaseVersions(std::map<service_name, mesh::base_version> Versions) override;
   void onRollouts(std::vector<mesh::rollout_record> Rollouts) override;
   void onZonesOutOfService(std::set<zone_name> Zones) override;
   void onSyncState(bool InSync) override;
--- a/libs/gateway/include/gentianlug/gateway/mesh_feed.h
+++ b/libs/gateway/include/gentianlug/gateway/mesh_feed.h
@@ -33,7 +33,7 @@
 ///
 /// The data is small, so it is always sent as a whole.
 struct control_state {
-  std::map<service_name, version_name> BaseVersions;
+  std::map<service_name, mesh::base_version> BaseVersions;
   std::vector<mesh::rollout_record> Rollouts;
   std::set<zone_name> ZonesOutOfService;
 };
--- a/libs/gateway/include/gentianlug/gateway/mesh_store.h
+++ b/libs/gateway/include/gentianlug/gateway/mesh_store.h
@@ -23,7 +23,7 @@
   onConfiguration(std::shared_ptr<const mesh::mesh_configuration> Next) = 0;
   virtual void onServers(std::vector<mesh::server_record> Servers) = 0;
   virtual void
-  onBaseVersions(std::map<service_name, version_name> Versions) = 0;
+  onBaseVersions(std::map<service_name, mesh::base_version> Versions) = 0;
   virtual void onRollouts(std::vector<mesh::rollout_record> Rollouts) = 0;
   virtual void onZonesOutOfService(std::set<zone_name> Zones) = 0;
   /// \param InSync whether the store is being watched and the data passed so
@@ -65,10 +65,11 @@
                              std::function<void()> Done) = 0;
   /// Returns whether a record passed to `publishServer` is not yet stored.
   virtual bool hasPendingPublish() const = 0;
-  /// Stores the version that a service has outside of rollouts. An existing
-  /// version is only overwritten if \p Replace is set.
+  /// Stores the version that a service has outside of rollouts, if the stored
+  /// object still has the revision of \p Next, where 0 means that there is
+  /// none. A write that is carried out late then replaces no later one.
   virtual void publishBaseVersion(const service_name &Service,
-                                  const version_name &Version, bool Replace,
+                                  const mesh::base_version &Next,
                                   std::function<void(bool Stored)> Done) = 0;
   /// Overwrites the state of a rollout if the stored object still has the
   /// revision of \p Record.
--- a/libs/gateway/src/feed_codec.cpp
+++ b/libs/gateway/src/feed_codec.cpp
@@ -100,7 +100,8 @@
           Record.Duration.count(), int(Record.Stage),
           Record.TrafficShare,     Record.Elapsed.count(),
           Record.Controller.str(), Record.ControllerAddress.str(),
-          Record.Reason,           Record.Revision};
+          Record.Reason,           Record.Revision,
+          Record.BaseVersion.str()};
 }
 
 static mesh::rollout_record decodeRollout(const json &Value) {
@@ -115,6 +116,7 @@
   Record.ControllerAddress = decodeAddress(Value.at(7));
   Record.Reason = Value.at(8);
   Record.Revision = Value.at(9);
+  Record.BaseVersion = version_name(Value.at(10).get<std::string>());
   return Record;
 }
 
@@ -161,8 +163,8 @@
 
 static json encode(const control_state &Orders) {
   json Bases = json::object();
-  for (const auto &[Service, Version] : Orders.BaseVersions)
-    Bases[Service.str()] = Version.str();
+  for (const auto &[Service, Base] : Orders.BaseVersions)
+    Bases[Service.str()] = {Base.Version.str(), Base.Revision};
   json Rollouts = json::array();
   for (const mesh::rollout_record &Record : Orders.Rollouts)
     Rollouts.push_back(encode(Record));
@@ -176,9 +178,9 @@
 
 static control_state decodeControlState(const json &Value) {
   control_state Orders;
-  for (const auto &[Service, Version] : Value.at("bases").items())
-    Orders.BaseVersions[service_name(Service)] =
-        version_name(Version.get<std::string>());
+  for (const auto &[Service, Base] : Value.at("bases").items())
+    Orders.BaseVersions[service_name(Service)] = {
+        version_name(Base.at(0).get<std::string>()), Base.at(1)};
   for (const json &Each : Value.at("rollouts"))
     Orders.Rollouts.push_back(decodeRollout(Each));
   for (const json &Each : Value.at("zones_out"))
--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -531,7 +531,8 @@
   Impl->setServers(std::move(Servers));
 }
 
-void feed_task::onBaseVersions(std::map<service_name, version_name> Versions) {
+void feed_task::onBaseVersions(
+    std::map<service_name, mesh::base_version> Versions) {
   Impl->BaseVersionsKnown = true;
   Impl->ControlState.BaseVersions = std::move(Versions);
   Impl->Node.onBaseVersions(Impl->ControlState.BaseVersions);
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -3,6 +3,7 @@
 #include "gentianlug/core/weak_callback.h"
 #include "gentianlug/gateway/feed_task.h"
 #include "gentianlug/mesh/server_lifecycle.h"
+#include "gentianlug/mesh/version_checks.h"
 #include "gentianlug/net/timer.h"
 
 #include <algorithm>
@@ -26,6 +27,9 @@
 /// Time after a write within which the servers that a relay sends may still
 /// lack the record of this node.
 static constexpr std::chrono::milliseconds RecordPropagationTime{2000};
+/// Time for which the stored base version may differ from the decision of a
+/// rollout before it is corrected. The two objects arrive one after the other.
+static constexpr std::chrono::milliseconds BaseVersionCheckDelay{1000};
 static constexpr std::chrono::milliseconds LogFlushPeriod{200};
 
 static double linkBytesPerSecond(const node_location &Location) {
@@ -54,6 +58,9 @@
   bool Stopping = false;
   bool PeerNoticeOver = false;
   bool BaseVersionWritePending = false;
+  bool BaseVersionCheckPending = false;
+  /// Services with ready servers, none of them of the version in use.
+  std::set<service_name> UnreachableServices;
   /// Whether the data received from the store is current.
   bool InSync = false;
   std::optional<steady_time> StopStartedAt;
@@ -64,6 +71,7 @@
   net::timer StopTimer;
   net::timer FlushTimer;
   net::timer RecordCheckTimer;
+  net::timer BaseVersionCheckTimer;
 
   impl(task_context Context, gateway_settings InitialSettings,
        mesh_store &Store, mesh_watcher &Node)
@@ -76,7 +84,8 @@
         Feed(Context, Settings.Location, Store, Node),
         StopTimer(Context.Loop, [this] { advanceStop(); }),
         FlushTimer(Context.Loop, [this] { this->Context.Log.flush(); }),
-        RecordCheckTimer(Context.Loop, [this] { checkRecordIsStored(); }) {
+        RecordCheckTimer(Context.Loop, [this] { checkRecordIsStored(); }),
+        BaseVersionCheckTimer(Context.Loop, [this] { correctBaseVersion(); }) {
     Entry.onLocalService(Settings.LocalService);
     Rollouts.onBounds(Settings.Bounds);
     Feed.onBounds(Settings.Bounds);
@@ -211,14 +220,75 @@
     const mesh::rollout_record *Rollout = Versions.rollout(Server->Service);
     if (Rollout && Rollout->TargetVersion == Server->Version)
       return;
+    writeBaseVersion(Server->Service, {Server->Version, 0});
+  }
+
+  void writeBaseVersion(const service_name &Service,
+                        const mesh::base_version &Next) {
     BaseVersionWritePending = true;
     Store.publishBaseVersion(
-        Server->Service, Server->Version, false,
-        bindWeakly(shared_from_this(), [](impl &Self, bool) {
+        Service, Next, bindWeakly(shared_from_this(), [](impl &Self, bool) {
           Self.BaseVersionWritePending = false;
+          Self.checkBaseVersion();
         }));
   }
 
+  /// Returns whether this node has to correct the stored base version of the
+  /// service of its server.
+  bool isBaseVersionWriter() const {
+    const auto &Server = Lifecycle.current();
+    if (!Server || !InSync || !BaseVersionsKnown || !RolloutsKnown ||
+        !Versions.isStoredBaseVersionOutdated(Server->Service))
+      return false;
+    return mesh::selectBaseVersionWriter(
+               Servers, Server->Service,
+               *Versions.baseVersion(Server->Service)) ==
+           Settings.Location.Node;
+  }
+
+  void checkBaseVersion() {
+    if (BaseVersionWritePending || !isBaseVersionWriter() ||
+        std::exchange(BaseVersionCheckPending, true))
+      return;
+    BaseVersionCheckTimer.startOnce(BaseVersionCheckDelay);
+  }
+
+  void correctBaseVersion() {
+    BaseVersionCheckPending = false;
+    if (BaseVersionWritePending || !isBaseVersionWriter())
+      return;
+    const service_name &Service = Lifecycle.current()->Service;
+    writeBaseVersion(Service, {*Versions.baseVersion(Service),
+                               Versions.storedBaseVersion(Service)->Revision});
+  }
+
+  void reportUnreachableServices() {
+    if (!BaseVersionsKnown || !RolloutsKnown || !ServersKnown)
+      return;
+    auto Next = mesh::findUnreachableServices(Servers, Versions);
+    for (const service_name &Service : Next)
+      if (!UnreachableServices.contains(Service))
+        Context.Log.write(event::ServiceUnreachable,
+                          {{"service", Service.str()},
+                           {"version", Versions.baseVersion(Service)->str()}});
+    for (const service_name &Service : UnreachableServices)
+      if (!Next.contains(Service))
+        Context.Log.write(event::ServiceReachable,
+                          {{"service", Service.str()}});
+    if (Next != UnreachableServices)
+      Context.Metrics.gauge("services_unreachable", double(Next.size()));
+    UnreachableServices = std::move(Next);
+  }
+
+  void onVersionsChanged() {
+    Entry.onVersions(Versions);
+    Rollouts.onVersions(Versions);
+    updateAdmission();
+    proposeBaseVersion();
+    checkBaseVersion();
+    reportUnreachableServices();
+  }
+
   void onServerChanged(const char *Reason) {
     const mesh::server_announcement &Current = *Lifecycle.current();
     Context.Log.write(event::ServerAnnounced,
@@ -382,6 +452,8 @@
   Impl->checkRecordIsStored();
   Impl->Entry.onServers(Impl->Servers);
   Impl->Rollouts.onServers(Impl->Servers);
+  Impl->checkBaseVersion();
+  Impl->reportUnreachableServices();
   if (const auto &Current = Impl->Lifecycle.current()) {
     auto Count =
         std::count_if(Impl->Servers.begin(), Impl->Servers.end(),
@@ -395,23 +467,17 @@
 }
 
 void gateway_node::onBaseVersions(
-    std::map<service_name, version_name> Versions) {
+    std::map<service_name, mesh::base_version> Versions) {
   Impl->BaseVersionsKnown = true;
   for (const auto &[Service, Version] : Versions)
     Impl->Versions.setBaseVersion(Service, Version);
-  Impl->Entry.onVersions(Impl->Versions);
-  Impl->Rollouts.onVersions(Impl->Versions);
-  Impl->updateAdmission();
-  Impl->proposeBaseVersion();
+  Impl->onVersionsChanged();
 }
 
 void gateway_node::onRollouts(std::vector<mesh::rollout_record> Rollouts) {
   Impl->RolloutsKnown = true;
   Impl->Versions.setRollouts(Rollouts);
-  Impl->Entry.onVersions(Impl->Versions);
-  Impl->Rollouts.onVersions(Impl->Versions);
-  Impl->updateAdmission();
-  Impl->proposeBaseVersion();
+  Impl->onVersionsChanged();
 }
 
 void gateway_node::onZonesOutOfService(std::set<zone_name> Zones) {
@@ -428,6 +494,7 @@
   Impl->InSync = InSync;
   Impl->Entry.setConfigurationCurrent(InSync);
   Impl->proposeBaseVersion();
+  Impl->checkBaseVersion();
 }
 
 } // namespace gentianlug::gateway
--- a/libs/gateway/src/rollout_task.cpp
+++ b/libs/gateway/src/rollout_task.cpp
@@ -47,6 +47,8 @@
   mesh::rollout_controller Controller;
   rollout::cumulative_evidence Reports;
   bool WritePending = false;
+  /// The target is stored as the base version.
+  bool TargetStoredAsBase = false;
 };
 
 std::uint64_t reportedCalls(const rollout::server_evidence &Evidence) {
@@ -100,10 +102,7 @@
     if (!Server)
       return nullptr;
     const mesh::rollout_record *Record = Versions.rollout(Server->Service);
-    if (!Record || Record->Stage == mesh::rollout_stage::Completed ||
-        Record->Stage == mesh::rollout_stage::RolledBack)
-      return nullptr;
-    return Record;
+    return Record && !mesh::isFinished(*Record) ? Record : nullptr;
   }
 
   void trackRollout() {
@@ -292,18 +291,30 @@
     Next->Controller = Node;
     Next->ControllerAddress = NodeAddress;
     Rollout->WritePending = true;
-    if (Next->Stage != mesh::rollout_stage::Completed)
-      return writeRecord(*Next);
-    // The base version is written first, so that a node that no longer sees the
-    // running rollout already knows the new base version. If this node stops
-    // observing the rollout in between, the next controller completes it.
+    if (Next->Stage == mesh::rollout_stage::Completed &&
+        !Rollout->TargetStoredAsBase)
+      return storeTargetAsBase(*Next);
+    writeRecord(*Next);
+  }
+
+  /// Stores the target as the base version before the rollout is completed, so
+  /// that it is there when the operator removes the completed record. The
+  /// record alone decides: it names the old version until then and after a
+  /// rollback.
+  void storeTargetAsBase(const mesh::rollout_record &Record) {
+    const mesh::base_version *Stored =
+        Versions.storedBaseVersion(Record.Service);
+    mesh::base_version Next{Record.TargetVersion,
+                            Stored ? Stored->Revision : 0};
+    // The evidence may change before the store answers, so the next step is
+    // decided again.
     Store.publishBaseVersion(
-        Next->Service, Next->TargetVersion, true,
-        bindWeakly(Rollout, [this, Record = *Next](observed_rollout &Observed,
-                                                   bool Stored) {
-          if (Stored)
-            return writeRecord(Record);
+        Record.Service, Next,
+        bindWeakly(Rollout, [this](observed_rollout &Observed, bool IsStored) {
           Observed.WritePending = false;
+          Observed.TargetStoredAsBase = IsStored;
+          if (IsStored)
+            advanceRollout();
         }));
   }
 
--- a/libs/gateway/tests/feed_task_test.cpp
+++ b/libs/gateway/tests/feed_task_test.cpp
@@ -50,7 +50,7 @@
   void publishServer(const mesh::server_record &,
                      std::function<void()>) override {}
   bool hasPendingPublish() const override { return false; }
-  void publishBaseVersion(const service_name &, const version_name &, bool,
+  void publishBaseVersion(const service_name &, const mesh::base_version &,
                           std::function<void(bool)>) override {}
   void writeRollout(const mesh::rollout_record &,
                     std::function<void(bool)>) override {}
@@ -102,7 +102,7 @@
     Version = Next->Version;
   }
   void onServers(std::vector<mesh::server_record>) override {}
-  void onBaseVersions(std::map<service_name, version_name>) override {}
+  void onBaseVersions(std::map<service_name, mesh::base_version>) override {}
   void onRollouts(std::vector<mesh::rollout_record>) override {}
   void onZonesOutOfService(std::set<zone_name>) override {}
   void onSyncState(bool Next) override { InSync = Next; }
--- /dev/null
+++ b/libs/gateway/tests/gateway_node_test.cpp
@@ -0,0 +1,114 @@
+#include "gentianlug/gateway/gateway_node.h"
+#include "task_fixture.h"
+
+using namespace gentianlug;
+using namespace gentianlug::gateway;
+using namespace std::chrono_literals;
+using http1::freePort;
+using http1::runUntil;
+
+namespace {
+
+/// Store that records the writes of a node and answers none of them.
+class recording_store final : public mesh_store {
+public:
+  void start(mesh_watcher &) override {}
+  void readServers() override {}
+  void setWatching(bool) override {}
+  void probe(std::function<void(bool)>) override {}
+  void setHealthCheck(const std::optional<store_health_check> &) override {}
+  void publishServer(const mesh::server_record &Record,
+                     std::function<void()>) override {
+    Published.push_back(Record);
+  }
+  bool hasPendingPublish() const override { return false; }
+  void publishBaseVersion(const service_name &, const mesh::base_version &Next,
+                          std::function<void(bool)> Done) override {
+    BaseVersions.push_back(Next);
+    BaseVersionStored = std::move(Done);
+  }
+  void writeRollout(const mesh::rollout_record &,
+                    std::function<void(bool)>) override {}
+
+  std::vector<mesh::server_record> Published;
+  std::vector<mesh::base_version> BaseVersions;
+  std::function<void(bool)> BaseVersionStored;
+};
+
+} // namespace
+
+TEST_GROUP(GatewayNode) {
+  task_environment Environment;
+  recording_store Store;
+  const service_name Service{"s"};
+  const address ServerAddress{"127.0.0.1", freePort()};
+  std::unique_ptr<gateway_node> Node;
+
+  void setup() override {
+    gateway_settings Settings;
+    Settings.Location.Node = node_id("n1");
+    Settings.Location.Zone = zone_name("z");
+    Settings.LocalService = Service;
+    Settings.CallerListener = {"127.0.0.1", freePort()};
+    Settings.NodeListener = {"127.0.0.1", freePort()};
+    Node =
+        std::make_unique<gateway_node>(Environment.context(), Settings, Store);
+    CHECK(bool(Node->start()));
+    Node->onServers({});
+  }
+  mesh::server_announcement announcement(incarnation_number Incarnation) const {
+    mesh::server_announcement Next;
+    Next.Instance = "i-1";
+    Next.Address = ServerAddress;
+    Next.Service = Service;
+    Next.Version = version_name("v1");
+    Next.Zone = zone_name("z");
+    Next.Incarnation = Incarnation;
+    Next.Sequence = 1;
+    return Next;
+  }
+  mesh::rollout_record rolledBack() const {
+    mesh::rollout_record Record;
+    Record.Service = Service;
+    Record.TargetVersion = version_name("v2");
+    Record.BaseVersion = version_name("v1");
+    Record.Stage = mesh::rollout_stage::RolledBack;
+    Record.Revision = 12;
+    return Record;
+  }
+};
+
+// Guards against a stored base version that stays at a version that was rolled
+// back, and that a node would use once the operator removes the rollout.
+TEST(GatewayNode, CorrectsTheStoredBaseVersionAfterARollback) {
+  Node->announce(announcement(1), [] {});
+  CHECK_EQUAL(1, Store.Published.size());
+  Node->onServers(Store.Published);
+  Node->onBaseVersions({{Service, {version_name("v2"), 9}}});
+  Node->onRollouts({rolledBack()});
+  Node->onSyncState(true);
+  runUntil(Environment.Loop, [&] { return Store.BaseVersions.size() == 1; });
+  mesh::base_version Corrected{version_name("v1"), 9};
+  CHECK(Store.BaseVersions.back() == Corrected);
+  // The write fails and is repeated.
+  Store.BaseVersionStored(false);
+  runUntil(Environment.Loop, [&] { return Store.BaseVersions.size() == 2; });
+  CHECK(Store.BaseVersions.back() == Corrected);
+  Node->onBaseVersions({{Service, {version_name("v1"), 13}}});
+  Store.BaseVersionStored(true);
+  CHECK_EQUAL(2, Store.BaseVersions.size());
+}
+
+// Guards against an outage of a service with ready servers that only shows in
+// the rejections of single calls.
+TEST(GatewayNode, ReportsServicesWithoutAServerOfTheVersionInUse) {
+  Node->announce(announcement(1), [] {});
+  Node->onServers(Store.Published);
+  Node->onRollouts({});
+  Node->onBaseVersions({{Service, {version_name("v2"), 9}}});
+  CHECK(Node->metricsText().find("services_unreachable 1") !=
+        std::string::npos);
+  Node->onRollouts({rolledBack()});
+  CHECK(Node->metricsText().find("services_unreachable 0") !=
+        std::string::npos);
+}
--- a/libs/gateway/tests/messages_test.cpp
+++ b/libs/gateway/tests/messages_test.cpp
@@ -203,7 +203,7 @@
 
 TEST(Feed, SendsControlState) {
   control_state Control;
-  Control.BaseVersions[service_name("s")] = version_name("v1");
+  Control.BaseVersions[service_name("s")] = {version_name("v1"), 6};
   Control.ZonesOutOfService.insert(zone_name("z"));
   mesh::rollout_record Record;
   Record.Service = service_name("s");
@@ -211,6 +211,7 @@
   Record.Stage = mesh::rollout_stage::Running;
   Record.TrafficShare = 0.15;
   Record.Duration = 16s;
+  Record.BaseVersion = version_name("v1");
   Control.Rollouts.push_back(Record);
   State.setControlState(Control);
   auto Update = updateFor({});
--- a/libs/gateway/tests/rollout_task_test.cpp
+++ b/libs/gateway/tests/rollout_task_test.cpp
@@ -19,9 +19,9 @@
   void publishServer(const mesh::server_record &,
                      std::function<void()>) override {}
   bool hasPendingPublish() const override { return false; }
-  void publishBaseVersion(const service_name &, const version_name &Version,
-                          bool, std::function<void(bool)> Done) override {
-    BaseVersion = Version;
+  void publishBaseVersion(const service_name &, const mesh::base_version &Next,
+                          std::function<void(bool)> Done) override {
+    BaseVersion = Next.Version;
     BaseVersionWritten = std::move(Done);
     ++BaseVersionWrites;
   }
@@ -63,7 +63,7 @@
   }
   void setRollout(const mesh::rollout_record &Record) {
     mesh::version_policy Versions;
-    Versions.setBaseVersion(Record.Service, version_name("v1"));
+    Versions.setBaseVersion(Record.Service, {version_name("v1"), 3});
     Versions.setRollouts({Record});
     Task->onVersions(Versions);
   }
@@ -88,6 +88,20 @@
       Task->onEvidence(Evidence);
     }
   }
+  /// Reports that many calls of the new version fail.
+  void sendErrors() {
+    rollout::server_evidence Evidence;
+    Evidence.Node = node_id("v2");
+    Evidence.Service = service_name("s");
+    Evidence.Version = version_name("v2");
+    Evidence.Sequence = 2;
+    rollout::route_evidence Route;
+    Route.Route = route_name("r");
+    Route.Calls = Route.Latencies[10] = 200;
+    Route.Errors = 90;
+    Evidence.Routes = {Route};
+    Task->onEvidence(Evidence);
+  }
   /// Brings the rollout to the point where the base version has been sent to
   /// the store and the record of the completed rollout is to follow.
   void startCompletion() {
@@ -120,6 +134,37 @@
   Store.RolloutWritten(true);
 }
 
+// Guards against a service that no server may serve after a rollback: the base
+// version was stored, its answer was lost, and the rollback did not put it
+// back.
+TEST(RolloutTask, RollbackKeepsTheOldVersionAfterALostAnswer) {
+  startCompletion();
+  Store.BaseVersionWritten(false);
+  sendErrors();
+  runUntil(Environment.Loop, [&] { return !Store.RolloutWrites.empty(); });
+  const mesh::rollout_record &Written = Store.RolloutWrites.back();
+  CHECK(Written.Stage == mesh::rollout_stage::RolledBack);
+  // A node that starts now reads both objects.
+  mesh::version_policy Versions;
+  Versions.setBaseVersion(Written.Service, {Store.BaseVersion, 9});
+  Versions.setRollouts({Written});
+  CHECK(Versions.mayServe(Written.Service, version_name("v1")));
+  CHECK_FALSE(Versions.mayServe(Written.Service, Written.TargetVersion));
+  const version_name *Chosen =
+      Versions.chooseVersion(Written.Service, Environment.Gen);
+  CHECK(Chosen && *Chosen == version_name("v1"));
+}
+
+// Guards against a rollout that is completed on evidence from before the store
+// answered: errors reported in the meantime count.
+TEST(RolloutTask, ErrorsDuringTheWriteOfTheBaseVersionRollBack) {
+  startCompletion();
+  sendErrors();
+  Store.BaseVersionWritten(true);
+  runUntil(Environment.Loop, [&] { return !Store.RolloutWrites.empty(); });
+  CHECK(Store.RolloutWrites.back().Stage == mesh::rollout_stage::RolledBack);
+}
+
 // Guards against the use of a controller that was dropped while the store had
 // not yet answered. A node without a server of the service no longer receives
 // evidence, so it must not complete the rollout either.
--- a/libs/mesh/include/gentianlug/mesh/rollout_controller.h
+++ b/libs/mesh/include/gentianlug/mesh/rollout_controller.h
@@ -66,6 +66,8 @@
   double logSlowRatio() const { return SlowEvaluator.logFaultRatio(); }
 
 private:
+  /// Enters the old version in a record that names no base version.
+  void nameBaseVersion();
   std::chrono::milliseconds elapsed(steady_time Now) const;
   rollout_record makeRecord(rollout_stage Stage, double Share,
                             std::string Reason, steady_time Now) const;
--- a/libs/mesh/include/gentianlug/mesh/version_policy.h
+++ b/libs/mesh/include/gentianlug/mesh/version_policy.h
@@ -19,7 +19,17 @@
   RolledBack,
 };
 
-/// State of a rollout in the store.
+/// Version of a service outside of rollouts, as stored.
+struct base_version {
+  version_name Version;
+  /// Revision of the stored object.
+  object_revision Revision = 0;
+
+  friend bool operator==(const base_version &, const base_version &) = default;
+};
+
+/// State of a rollout in the store: the only record of its decisions. The
+/// stored base version is a copy for the time after this record is removed.
 struct rollout_record {
   service_name Service;
   version_name TargetVersion;
@@ -34,6 +44,10 @@
   node_id Controller;
   address ControllerAddress;
   std::string Reason;
+  /// Version that receives the calls until the rollout is completed, and again
+  /// after a rollback. Empty if no node has controlled a rollout of the service
+  /// since the object was created.
+  version_name BaseVersion;
   /// Revision of the stored object, and of the rollout order in it.
   object_revision Revision = 0;
 
@@ -41,12 +55,23 @@
                          const rollout_record &) = default;
 };
 
+/// Returns whether the rollout has reached its final stage.
+bool isFinished(const rollout_record &Record);
+
 /// Decides which version of each service receives calls.
 class version_policy {
 public:
-  /// Sets the version that receives calls while no rollout is active.
-  void setBaseVersion(const service_name &Service, const version_name &Version);
+  /// Sets the stored base version of \p Service.
+  void setBaseVersion(const service_name &Service, base_version Stored);
+  /// Returns the version that receives calls while no rollout is active, or
+  /// null: the one that the rollout record names, or else the later one of the
+  /// stored base version and the last removed record.
   const version_name *baseVersion(const service_name &Service) const;
+  /// Returns the stored base version, or null.
+  const base_version *storedBaseVersion(const service_name &Service) const;
+  /// Returns whether the stored base version differs from the one that a
+  /// finished rollout has decided.
+  bool isStoredBaseVersionOutdated(const service_name &Service) const;
   /// Replaces the rollout records. An older revision of a known record does
   /// not replace it.
   void setRollouts(const std::vector<rollout_record> &Records);
@@ -60,7 +85,9 @@
   bool mayServe(const service_name &Service, const version_name &Version) const;
 
 private:
-  std::unordered_map<service_name, version_name> BaseVersions;
+  std::unordered_map<service_name, base_version> StoredBaseVersions;
+  /// Base versions by the records that have been seen, with their revisions.
+  std::unordered_map<service_name, base_version> DecidedBaseVersions;
   std::unordered_map<service_name, rollout_record> Rollouts;
 };
 
--- a/libs/mesh/src/rollout_controller.cpp
+++ b/libs/mesh/src/rollout_controller.cpp
@@ -69,6 +69,7 @@
       std::max(Record.Duration, rollout::EvaluationPeriod)};
   Evaluator.start(Scope);
   SlowEvaluator.start(Scope);
+  nameBaseVersion();
 }
 
 void rollout_controller::onEvidence(const rollout::server_evidence &Evidence) {
@@ -117,6 +118,12 @@
   if (Next.Elapsed != Record.Elapsed || Next.Stage != Record.Stage)
     ElapsedObservedAt = Now;
   Record = Next;
+  nameBaseVersion();
+}
+
+void rollout_controller::nameBaseVersion() {
+  if (Record.BaseVersion.empty())
+    Record.BaseVersion = OldVersion;
 }
 
 std::chrono::milliseconds rollout_controller::elapsed(steady_time Now) const {
--- a/libs/mesh/src/version_policy.cpp
+++ b/libs/mesh/src/version_policy.cpp
@@ -2,34 +2,65 @@
 
 namespace gentianlug::mesh {
 
+bool isFinished(const rollout_record &Record) {
+  return Record.Stage == rollout_stage::Completed ||
+         Record.Stage == rollout_stage::RolledBack;
+}
+
+/// Returns the version that \p Record leaves in use, or null if it names none.
+static const version_name *decidedVersion(const rollout_record &Record) {
+  if (Record.Stage == rollout_stage::Completed)
+    return &Record.TargetVersion;
+  return Record.BaseVersion.empty() ? nullptr : &Record.BaseVersion;
+}
+
 void version_policy::setBaseVersion(const service_name &Service,
-                                    const version_name &Version) {
-  BaseVersions[Service] = Version;
+                                    base_version Stored) {
+  StoredBaseVersions[Service] = std::move(Stored);
+}
+
+const base_version *
+version_policy::storedBaseVersion(const service_name &Service) const {
+  auto Found = StoredBaseVersions.find(Service);
+  return Found == StoredBaseVersions.end() ? nullptr : &Found->second;
 }
 
 const version_name *
 version_policy::baseVersion(const service_name &Service) const {
-  auto Rollout = Rollouts.find(Service);
-  if (Rollout != Rollouts.end() &&
-      Rollout->second.Stage == rollout_stage::Completed)
-    return &Rollout->second.TargetVersion;
-  auto Found = BaseVersions.find(Service);
-  return Found == BaseVersions.end() ? nullptr : &Found->second;
+  if (const rollout_record *Record = rollout(Service))
+    if (const version_name *Version = decidedVersion(*Record))
+      return Version;
+  const base_version *Stored = storedBaseVersion(Service);
+  auto Decided = DecidedBaseVersions.find(Service);
+  if (Decided != DecidedBaseVersions.end() &&
+      (!Stored || Stored->Revision < Decided->second.Revision))
+    return &Decided->second.Version;
+  return Stored ? &Stored->Version : nullptr;
+}
+
+bool version_policy::isStoredBaseVersionOutdated(
+    const service_name &Service) const {
+  const rollout_record *Record = rollout(Service);
+  if (Record && !isFinished(*Record) && decidedVersion(*Record))
+    return false;
+  const base_version *Stored = storedBaseVersion(Service);
+  const version_name *Version = baseVersion(Service);
+  return Stored && Version && Stored->Version != *Version;
 }
 
 void version_policy::setRollouts(const std::vector<rollout_record> &Records) {
-  // A completed rollout changes the base version, which stays after the record
-  // is removed or replaced by the next rollout.
   std::unordered_map<service_name, rollout_record> Before;
   Before.swap(Rollouts);
   for (const rollout_record &Record : Records) {
-    if (Record.Stage == rollout_stage::Completed)
-      BaseVersions[Record.Service] = Record.TargetVersion;
     // The records may come from a source that lags behind.
     auto Known = Before.find(Record.Service);
     bool Older =
         Known != Before.end() && Known->second.Revision > Record.Revision;
-    Rollouts[Record.Service] = Older ? Known->second : Record;
+    const rollout_record &Latest = Older ? Known->second : Record;
+    // What a record has decided holds also after it is removed.
+    if (const version_name *Version = decidedVersion(Latest))
+      DecidedBaseVersions[Record.Service] = {*Version, Latest.Revision};
+    Rollouts[Record.Service] = Latest;
   }
 }
 
--- a/libs/mesh/tests/version_policy_test.cpp
+++ b/libs/mesh/tests/version_policy_test.cpp
@@ -12,7 +12,7 @@
   const version_name Old{"v1"};
   const version_name New{"v2"};
 
-  void setup() override { Policy.setBaseVersion(Service, Old); }
+  void setup() override { Policy.setBaseVersion(Service, {Old, 0}); }
   void setRollout(rollout_stage Stage, double Share,
                   object_revision Revision = 1) {
     rollout_record Record;
@@ -72,6 +72,61 @@
   CHECK(Policy.mayServe(Service, New));
 }
 
+// Guards against a version that was rolled back and stays in use, because it
+// had been stored as the base version before the rollout was to complete.
+TEST(VersionPolicy, RecordDecidesAgainstTheStoredBaseVersion) {
+  rollout_record Record;
+  Record.Service = Service;
+  Record.TargetVersion = New;
+  Record.BaseVersion = Old;
+  Record.Revision = 5;
+  Policy.setBaseVersion(Service, {New, 9});
+  for (rollout_stage Stage :
+       {rollout_stage::Pending, rollout_stage::RolledBack}) {
+    Record.Stage = Stage;
+    Policy.setRollouts({Record});
+    CHECK(Policy.mayServe(Service, Old));
+    CHECK_FALSE(Policy.mayServe(Service, New));
+  }
+  CHECK(Policy.isStoredBaseVersionOutdated(Service));
+  Record.Stage = rollout_stage::Completed;
+  Policy.setRollouts({Record});
+  CHECK(Policy.mayServe(Service, New));
+  CHECK_FALSE(Policy.isStoredBaseVersionOutdated(Service));
+}
+
+// Guards against a correction of the base version that a controller stores
+// shortly before it completes the rollout.
+TEST(VersionPolicy, RunningRolloutLeavesTheStoredBaseVersion) {
+  rollout_record Record;
+  Record.Service = Service;
+  Record.TargetVersion = New;
+  Record.BaseVersion = Old;
+  Record.Stage = rollout_stage::Switching;
+  Policy.setBaseVersion(Service, {New, 9});
+  Policy.setRollouts({Record});
+  CHECK_FALSE(Policy.isStoredBaseVersionOutdated(Service));
+}
+
+// Guards against nodes that differ after a record is removed: the decision of
+// the record holds until a later base version is stored.
+TEST(VersionPolicy, RemovedRecordHoldsUntilALaterBaseVersion) {
+  rollout_record Record;
+  Record.Service = Service;
+  Record.TargetVersion = New;
+  Record.BaseVersion = Old;
+  Record.Stage = rollout_stage::RolledBack;
+  Record.Revision = 12;
+  Policy.setBaseVersion(Service, {New, 9});
+  Policy.setRollouts({Record});
+  Policy.setRollouts({});
+  CHECK(Policy.mayServe(Service, Old));
+  CHECK(Policy.isStoredBaseVersionOutdated(Service));
+  Policy.setBaseVersion(Service, {version_name("v3"), 13});
+  CHECK(Policy.mayServe(Service, version_name("v3")));
+  CHECK_FALSE(Policy.isStoredBaseVersionOutdated(Service));
+}
+
 // Guards against a relay that lags behind and returns an earlier stage.
 TEST(VersionPolicy, OlderRecordsDoNotReplaceNewerOnes) {
   setRollout(rollout_stage::RolledBack, 0, 9);
