Take service, zone and address of a server from the settings

Cause: a server announced what is a fact of its VM. A later start was enough to replace the server, and the service of the last announcement replaced the one of the settings.

If the server rejects calls for an announced instance, the next announcement of another instance is accepted again. A leaving message about an earlier run, a foreign record under the node's name and a rollout under another name than its service have no effect.

--- a/libs/gateway/include/gentianlug/gateway/gateway_node.h
+++ b/libs/gateway/include/gentianlug/gateway/gateway_node.h
@@ -10,8 +10,12 @@
 /// Settings of a node.
 struct gateway_settings {
   node_location Location;
-  /// Service of the server on this VM, used until the server announces itself.
+  /// Service of the server on this VM. If it is empty, the service that the
+  /// server announces counts.
   service_name LocalService;
+  /// Address of the server on this VM. If the host is empty, the address that
+  /// the server announces counts.
+  address ServerAddress;
   /// Accepts calls of callers and of the server on this VM.
   address CallerListener;
   /// Accepts calls of other nodes.
@@ -19,6 +23,13 @@
   mesh::mesh_bounds Bounds;
 };
 
+/// Result of an announcement.
+enum class announcement_status : std::uint8_t {
+  Acknowledged,
+  /// It does not describe the server of this VM and has no effect.
+  Refused,
+};
+
 /// Sidecar of one backend server. Owns the tasks of the node and passes
 /// messages between them.
 ///
@@ -36,14 +47,17 @@
   result<void> start();
 
   // Announcements of the server on this VM.
-  /// Runs \p Ack immediately. For a server that is no longer ready, \p Ack
+  /// Runs \p Done immediately. For a server that is no longer ready, \p Done
   /// waits for a bounded time until its record is stored, so that no new call
   /// is routed to it.
   void announce(const mesh::server_announcement &Announcement,
-                std::function<void()> Ack);
-  /// Marks the server as gone if \p Instance is the current one. \p Ack waits
-  /// as for a server that is no longer ready.
-  void deregister(const std::string &Instance, std::function<void()> Ack);
+                std::function<void(announcement_status)> Done);
+  /// Marks the server as gone if \p Instance is the current one, and no later
+  /// run than \p Incarnation. \p Ack waits as for a server that is no longer
+  /// ready.
+  void deregister(const std::string &Instance,
+                  std::optional<incarnation_number> Incarnation,
+                  std::function<void()> Ack);
 
   /// Returns whether callers may be directed to this node.
   bool ready() const;
--- a/libs/gateway/include/gentianlug/gateway/serving_task.h
+++ b/libs/gateway/include/gentianlug/gateway/serving_task.h
@@ -58,6 +58,11 @@
   void
   setLeavingHandler(std::function<void(const std::string &Instance)> Handler);
 
+  /// Sets the handler for a server that rejects a call because it is not
+  /// \p Instance.
+  void
+  setDeniedHandler(std::function<void(const std::string &Instance)> Handler);
+
   // Notifications and commands from `gateway_node`.
   /// The server was announced, has changed or is gone.
   void onServer(const std::optional<local_server> &Server);
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -101,6 +101,9 @@
       onServerChanged("leaving, by a response");
       publish([] {});
     });
+    Serving.setDeniedHandler([this](const std::string &Instance) {
+      Lifecycle.onInstanceDenied(Instance);
+    });
     Serving.setOtherUnsentBytesSource([this] { return Entry.unsentBytes(); });
     Serving.setFollowerPollHandler(
         [this](std::shared_ptr<http1::exchange> Exchange) {
@@ -129,6 +132,21 @@
     return std::nullopt;
   }
 
+  /// Returns why \p Announcement cannot come from the server of this VM, or
+  /// null.
+  const char *
+  refusalReason(const mesh::server_announcement &Announcement) const {
+    mesh::server_identity Identity{
+        Settings.LocalService, Settings.Location.Zone, Settings.ServerAddress};
+    if (const char *Mismatch =
+            mesh::findIdentityMismatch(Identity, Announcement))
+      return Mismatch;
+    if (Settings.LocalService.empty() && Configuration &&
+        !Configuration->findService(Announcement.Service))
+      return "no service of the configuration";
+    return nullptr;
+  }
+
   void updateAdmission() { Serving.setBlockReason(blockReason()); }
 
   void updateLocalServer() {
@@ -153,7 +171,8 @@
                                            Next.Admission.Instance;
     LocalServer = Next;
     Serving.onServer(LocalServer);
-    Entry.onLocalService(Next.Service);
+    if (Settings.LocalService.empty())
+      Entry.onLocalService(Next.Service);
     if (!SameInstance)
       Rollouts.onServer(LocalServer);
     updateAdmission();
@@ -197,12 +216,20 @@
     Store.publishServer(Next, std::move(Done));
   }
 
-  /// Publishes the record of this node again if the store has lost it.
+  /// Returns whether \p Record is one that a node of this VM has published.
+  bool isOwnRecord(const mesh::server_record &Record) const {
+    return Record.Node == Settings.Location.Node &&
+           Record.Zone == Settings.Location.Zone &&
+           (Settings.LocalService.empty() ||
+            Record.Service == Settings.LocalService);
+  }
+
+  /// Publishes the record of this node again if the store has lost it, or if
+  /// another writer has replaced it.
   void checkRecordIsStored() {
-    bool Stored = std::any_of(Servers.begin(), Servers.end(),
-                              [&](const mesh::server_record &Record) {
-                                return Record.Node == Settings.Location.Node;
-                              });
+    bool Stored = std::any_of(
+        Servers.begin(), Servers.end(),
+        [&](const mesh::server_record &Record) { return isOwnRecord(Record); });
     if (Stored || !PublishedRecord)
       return;
     auto Age = Context.Clock.steadyNow() - PublishedAt;
@@ -376,7 +403,17 @@
 }
 
 void gateway_node::announce(const mesh::server_announcement &Announcement,
-                            std::function<void()> Ack) {
+                            std::function<void(announcement_status)> Done) {
+  if (const char *Reason = Impl->refusalReason(Announcement)) {
+    Impl->Context.Log.write(event::AnnouncementRefused,
+                            {{"instance", Announcement.Instance},
+                             {"service", Announcement.Service.str()},
+                             {"reason", Reason}});
+    return Done(announcement_status::Refused);
+  }
+  auto Ack = [Done = std::move(Done)] {
+    Done(announcement_status::Acknowledged);
+  };
   switch (Impl->Lifecycle.onAnnouncement(Announcement)) {
   case mesh::lifecycle_change::Ignored:
     return Ack();
@@ -388,15 +425,17 @@
   }
   const mesh::server_announcement &Current = *Impl->Lifecycle.current();
   if (Current.State != mesh::server_state::Ready)
-    return Impl->ackWhenStored(std::move(Ack));
+    return Impl->ackWhenStored(Ack);
   Impl->Serving.onServerAnnounced(Announcement.RemainingColdTime);
   Impl->publish([] {});
   Ack();
 }
 
 void gateway_node::deregister(const std::string &Instance,
+                              std::optional<incarnation_number> Incarnation,
                               std::function<void()> Ack) {
-  if (Impl->Lifecycle.onServerGone(Instance) == mesh::lifecycle_change::Changed)
+  if (Impl->Lifecycle.onServerGone(Instance, Incarnation) ==
+      mesh::lifecycle_change::Changed)
     Impl->onServerChanged("left");
   Impl->ackWhenStored(std::move(Ack));
 }
@@ -419,7 +458,9 @@
   Impl->Settings.Bounds = Settings.Bounds;
   Impl->Rollouts.onBounds(Settings.Bounds);
   Impl->Feed.onBounds(Settings.Bounds);
-  if (!Impl->LocalServer)
+  Impl->Settings.ServerAddress = Settings.ServerAddress;
+  Impl->Settings.LocalService = Settings.LocalService;
+  if (!Settings.LocalService.empty())
     Impl->Entry.onLocalService(Settings.LocalService);
 }
 
@@ -442,10 +483,10 @@
 
 void gateway_node::onServers(std::vector<mesh::server_record> Servers) {
   bool First = !std::exchange(Impl->ServersKnown, true);
-  const node_id &Own = Impl->Settings.Location.Node;
-  auto Found = std::find_if(
-      Servers.begin(), Servers.end(),
-      [&](const mesh::server_record &Record) { return Record.Node == Own; });
+  auto Found = std::find_if(Servers.begin(), Servers.end(),
+                            [&](const mesh::server_record &Record) {
+                              return Impl->isOwnRecord(Record);
+                            });
   if (First && Found != Servers.end())
     Impl->Lifecycle.restoreRecord(*Found);
   Impl->Servers = std::move(Servers);
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -70,6 +70,7 @@
   std::function<void(const rollout::server_evidence &)> EvidenceHandler;
   std::function<void(std::shared_ptr<http1::exchange>)> FollowerPollHandler;
   std::function<void(const std::string &Instance)> LeavingHandler;
+  std::function<void(const std::string &Instance)> DeniedHandler;
   /// When the server last named a limit of calls per second.
   steady_time LimitNamedAt{};
 
@@ -276,6 +277,7 @@
                       {serving_outcome::Shed, {}, "server-shed", false, {}});
     case response_class::WrongServer:
       Admission.finish(Ticket, std::nullopt);
+      onInstanceDenied(Call.Call.Instance);
       suspendServer("another server has the address");
       return complete(
           Ticket, {serving_outcome::Refused, {}, "wrong-server", false, {}});
@@ -284,6 +286,13 @@
     }
   }
 
+  void onInstanceDenied(const std::string &Instance) {
+    if (DeniedHandler)
+      Context.Loop.defer(bindWeakly(shared_from_this(), [Instance](impl &Self) {
+        Self.DeniedHandler(Instance);
+      }));
+  }
+
   /// Handles what the server \p Instance says in the response to a request that
   /// was sent at \p SentAt. Another server may be beside this node by then.
   void onServerNotice(const server_notice &Notice, const std::string &Instance,
@@ -449,6 +458,9 @@
         confirm(Health.ColdFor, "probe");
         return advance();
       }
+      if (!Health.Instance.empty() &&
+          Health.Instance != Server->Admission.Instance)
+        onInstanceDenied(Server->Admission.Instance);
     }
     ProbeTimer.startOnce(ProbeInterval);
   }
@@ -493,6 +505,11 @@
   Impl->EvidenceHandler = std::move(Handler);
 }
 
+void serving_task::setDeniedHandler(
+    std::function<void(const std::string &Instance)> Handler) {
+  Impl->DeniedHandler = std::move(Handler);
+}
+
 void serving_task::setLeavingHandler(
     std::function<void(const std::string &Instance)> Handler) {
   Impl->LeavingHandler = std::move(Handler);
--- a/libs/gateway/tests/gateway_node_test.cpp
+++ b/libs/gateway/tests/gateway_node_test.cpp
@@ -44,17 +44,19 @@
   const address ServerAddress{"127.0.0.1", freePort()};
   std::unique_ptr<gateway_node> Node;
 
-  void setup() override {
+  void setup() override { startNode({}); }
+  void startNode(const std::vector<mesh::server_record> &Stored) {
     gateway_settings Settings;
     Settings.Location.Node = node_id("n1");
     Settings.Location.Zone = zone_name("z");
     Settings.LocalService = Service;
+    Settings.ServerAddress = ServerAddress;
     Settings.CallerListener = {"127.0.0.1", freePort()};
     Settings.NodeListener = {"127.0.0.1", freePort()};
     Node =
         std::make_unique<gateway_node>(Environment.context(), Settings, Store);
     CHECK(bool(Node->start()));
-    Node->onServers({});
+    Node->onServers(Stored);
   }
   mesh::server_announcement announcement(incarnation_number Incarnation) const {
     mesh::server_announcement Next;
@@ -67,6 +69,12 @@
     Next.Sequence = 1;
     return Next;
   }
+  announcement_status announce(const mesh::server_announcement &Next) const {
+    std::optional<announcement_status> Status;
+    Node->announce(Next, [&](announcement_status Result) { Status = Result; });
+    CHECK(Status.has_value());
+    return *Status;
+  }
   mesh::rollout_record rolledBack() const {
     mesh::rollout_record Record;
     Record.Service = Service;
@@ -81,7 +89,7 @@
 // Guards against a stored base version that stays at a version that was rolled
 // back, and that a node would use once the operator removes the rollout.
 TEST(GatewayNode, CorrectsTheStoredBaseVersionAfterARollback) {
-  Node->announce(announcement(1), [] {});
+  announce(announcement(1));
   CHECK_EQUAL(1, Store.Published.size());
   Node->onServers(Store.Published);
   Node->onBaseVersions({{Service, {version_name("v2"), 9}}});
@@ -102,7 +110,7 @@
 // Guards against an outage of a service with ready servers that only shows in
 // the rejections of single calls.
 TEST(GatewayNode, ReportsServicesWithoutAServerOfTheVersionInUse) {
-  Node->announce(announcement(1), [] {});
+  announce(announcement(1));
   Node->onServers(Store.Published);
   Node->onRollouts({});
   Node->onBaseVersions({{Service, {version_name("v2"), 9}}});
@@ -112,3 +120,40 @@
   CHECK(Node->metricsText().find("services_unreachable 0") !=
         std::string::npos);
 }
+
+// Guards against an announcement of another writer that replaces the server of
+// the VM, whose own announcements then count as old.
+TEST(GatewayNode, RefusesAnnouncementsOfOtherServers) {
+  CHECK(announce(announcement(1)) == announcement_status::Acknowledged);
+  mesh::server_announcement Foreign = announcement(5);
+  Foreign.Instance = "i-2";
+  Foreign.Service = service_name("t");
+  CHECK(announce(Foreign) == announcement_status::Refused);
+  Foreign.Service = Service;
+  Foreign.Address.Port = 1;
+  CHECK(announce(Foreign) == announcement_status::Refused);
+  CHECK_EQUAL(1, Store.Published.size());
+  mesh::server_announcement Next = announcement(1);
+  Next.Sequence = 2;
+  Next.Slots = 7;
+  CHECK(announce(Next) == announcement_status::Acknowledged);
+  CHECK_EQUAL(2, Store.Published.size());
+  CHECK_EQUAL(7, Store.Published.back().Slots);
+}
+
+// Guards against an entry of another writer under the name of this node, whose
+// start is taken for an earlier start of the server and lies after it.
+TEST(GatewayNode, ReplacesForeignRecordsUnderItsName) {
+  mesh::server_record Foreign;
+  Foreign.Node = node_id("n1");
+  Foreign.Zone = zone_name("z");
+  Foreign.Service = service_name("t");
+  Foreign.Incarnation = 1000;
+  startNode({Foreign});
+  CHECK(announce(announcement(1)) == announcement_status::Acknowledged);
+  CHECK_EQUAL(1, Store.Published.size());
+  Environment.Clock.advance(3s);
+  Node->onServers({Foreign});
+  CHECK_EQUAL(2, Store.Published.size());
+  CHECK(Store.Published.back().Service == Service);
+}
--- a/libs/mesh/include/gentianlug/mesh/model.h
+++ b/libs/mesh/include/gentianlug/mesh/model.h
@@ -121,6 +121,14 @@
   std::chrono::milliseconds RemainingColdTime{0};
 };
 
+/// What the settings of a VM say about its backend server. An empty member
+/// says nothing.
+struct server_identity {
+  service_name Service;
+  zone_name Zone;
+  address Address;
+};
+
 /// Limits from the settings that apply to all nodes together.
 struct mesh_bounds {
   /// Allowed retries: a share of the calls, plus a fixed number.
--- a/libs/mesh/include/gentianlug/mesh/server_lifecycle.h
+++ b/libs/mesh/include/gentianlug/mesh/server_lifecycle.h
@@ -17,6 +17,12 @@
   Changed,
 };
 
+/// Returns why \p Announcement does not come from the server that \p Identity
+/// describes, or null if it may. Announcements of other writers arrive too, and
+/// a server does not choose its service, zone or address.
+const char *findIdentityMismatch(const server_identity &Identity,
+                                 const server_announcement &Announcement);
+
 /// Tracks the state of the local server across restarts.
 ///
 /// Announcements may arrive late, more than once and out of order. A run of the
@@ -29,19 +35,30 @@
   lifecycle_change onAnnouncement(const server_announcement &Next);
   /// Marks the server as gone without an announcement.
   ///
-  /// \returns `Ignored` if \p Instance is not the current one.
-  lifecycle_change onServerGone(const std::string &Instance);
+  /// \param Incarnation the run that has ended, if the message names it.
+  /// \returns `Ignored` if \p Instance is not the current one, or if a later
+  ///   run of it is.
+  lifecycle_change
+  onServerGone(const std::string &Instance,
+               std::optional<incarnation_number> Incarnation = std::nullopt);
 
   /// Marks the server as draining because it said so in a response.
   ///
   /// \returns `Ignored` if \p Instance is not the current one.
   lifecycle_change onServerLeaving(const std::string &Instance);
 
+  /// Notes that another server than \p Instance has answered at its address.
+  /// The next announcement of another instance then replaces it, whatever its
+  /// incarnation.
+  void onInstanceDenied(const std::string &Instance);
+
   const std::optional<server_announcement> &current() const { return Current; }
 
 private:
   std::optional<server_announcement> Current;
   std::optional<server_record> StoredRecord;
+  /// Another server has answered at the address of the current one.
+  bool InstanceDenied = false;
 };
 
 } // namespace gentianlug::mesh
--- a/libs/mesh/src/server_lifecycle.cpp
+++ b/libs/mesh/src/server_lifecycle.cpp
@@ -6,6 +6,18 @@
   return State == server_state::Draining || State == server_state::Gone;
 }
 
+const char *findIdentityMismatch(const server_identity &Identity,
+                                 const server_announcement &Announcement) {
+  if (!Identity.Service.empty() && Announcement.Service != Identity.Service)
+    return "the server of this VM belongs to another service";
+  if (!Identity.Zone.empty() && Announcement.Zone != Identity.Zone)
+    return "the server of this VM is in another availability zone";
+  if (!Identity.Address.Host.empty() &&
+      Announcement.Address != Identity.Address)
+    return "the server of this VM has another address";
+  return nullptr;
+}
+
 void server_lifecycle::restoreRecord(const server_record &Record) {
   StoredRecord = Record;
 }
@@ -18,7 +30,9 @@
     return lifecycle_change::Ignored;
   if (StoredRecord && Next.Incarnation < StoredRecord->Incarnation)
     return lifecycle_change::Ignored;
-  if (!Current || Next.Incarnation > Current->Incarnation) {
+  bool ReplacesDenied = InstanceDenied && Next.Instance != Current->Instance;
+  if (!Current || Next.Incarnation > Current->Incarnation || ReplacesDenied) {
+    InstanceDenied = false;
     Current = Next;
     return lifecycle_change::Changed;
   }
@@ -46,8 +60,11 @@
   return lifecycle_change::Changed;
 }
 
-lifecycle_change server_lifecycle::onServerGone(const std::string &Instance) {
-  if (!Current || Current->Instance != Instance)
+lifecycle_change
+server_lifecycle::onServerGone(const std::string &Instance,
+                               std::optional<incarnation_number> Incarnation) {
+  if (!Current || Current->Instance != Instance ||
+      (Incarnation && *Incarnation < Current->Incarnation))
     return lifecycle_change::Ignored;
   if (Current->State == server_state::Gone)
     return lifecycle_change::Unchanged;
@@ -55,4 +72,9 @@
   return lifecycle_change::Changed;
 }
 
+void server_lifecycle::onInstanceDenied(const std::string &Instance) {
+  if (Current && Current->Instance == Instance)
+    InstanceDenied = true;
+}
+
 } // namespace gentianlug::mesh
--- a/libs/mesh/tests/server_lifecycle_test.cpp
+++ b/libs/mesh/tests/server_lifecycle_test.cpp
@@ -25,6 +25,49 @@
   }
 };
 
+// Guards against a late message about an earlier run that takes out the server
+// that has started again under the same instance id.
+TEST(ServerLifecycle, EndOfAnEarlierRunIsIgnored) {
+  expect(lifecycle_change::Changed, makeAnnouncement("i", 2, 1));
+  CHECK(Lifecycle.onServerGone("i", 1) == lifecycle_change::Ignored);
+  CHECK(Lifecycle.current()->State == server_state::Ready);
+  CHECK(Lifecycle.onServerGone("i", 2) == lifecycle_change::Changed);
+}
+
+// Guards against an announcement of another writer that keeps the real server
+// out for good, because it names a later start.
+TEST(ServerLifecycle, DeniedInstanceIsReplacedByAnEarlierIncarnation) {
+  expect(lifecycle_change::Changed, makeAnnouncement("foreign", 9, 1));
+  expect(lifecycle_change::Ignored, makeAnnouncement("i", 2, 4));
+  Lifecycle.onInstanceDenied("another");
+  expect(lifecycle_change::Ignored, makeAnnouncement("i", 2, 5));
+  Lifecycle.onInstanceDenied("foreign");
+  expect(lifecycle_change::Unchanged, makeAnnouncement("foreign", 9, 2));
+  expect(lifecycle_change::Changed, makeAnnouncement("i", 2, 6));
+  expect(lifecycle_change::Ignored, makeAnnouncement("old", 1, 7));
+}
+
+// Guards against an announcement of another writer that changes the service,
+// zone or address of a VM.
+TEST(ServerLifecycle, FindsAnnouncementsOfOtherServers) {
+  server_announcement Own = makeAnnouncement("i", 1, 1);
+  Own.Service = service_name("s");
+  Own.Zone = zone_name("z");
+  Own.Address = {"10.0.0.1", 80};
+  server_identity Identity{Own.Service, Own.Zone, Own.Address};
+  POINTERS_EQUAL(nullptr, findIdentityMismatch(Identity, Own));
+  POINTERS_EQUAL(nullptr, findIdentityMismatch({}, Own));
+  server_announcement Other = Own;
+  Other.Service = service_name("t");
+  CHECK(findIdentityMismatch(Identity, Other) != nullptr);
+  Other = Own;
+  Other.Zone = zone_name("y");
+  CHECK(findIdentityMismatch(Identity, Other) != nullptr);
+  Other = Own;
+  Other.Address.Port = 81;
+  CHECK(findIdentityMismatch(Identity, Other) != nullptr);
+}
+
 TEST(ServerLifecycle, IgnoresLateAnnouncements) {
   expect(lifecycle_change::Changed, makeAnnouncement("i", 1, 1));
   expect(lifecycle_change::Unchanged, makeAnnouncement("i", 1, 3));
--- a/standins/node_mesh.cpp
+++ b/standins/node_mesh.cpp
@@ -124,7 +124,8 @@
         {"ip", Machine.Inbound.Host},
         {"zone", Machine.Zone},
         {"limits", {{"linkMbps", Machine.LinkMbps}}},
-        {"service", "orders"}}},
+        {"service", "orders"},
+        {"appAddr", Machine.AdvertisedServerAddress.str()}}},
       {"network",
        {{"listen",
          {{"inbound", Machine.Inbound.str()},
@@ -202,10 +203,18 @@
     addHeaders(Response, Machine.ResponseHeaders);
     return Exchange->respond(std::move(Response));
   }
+  const std::string *Expected =
+      Exchange->receivedRequest().Headers.find("expected-instance");
+  constexpr int Misdirected = 421;
+  if (Machine.ChecksInstance && Expected && *Expected != Machine.Instance)
+    return Exchange->respond(http1::makeStatusResponse(Misdirected));
   ++Machine.ReceivedCalls;
   if (const std::string *Id =
           Exchange->receivedRequest().Headers.find("request-id"))
     ++ExecutionsByCallId[*Id];
+  if (const std::string *Caller =
+          Exchange->receivedRequest().Headers.find("caller-service"))
+    CallerServices.insert(*Caller);
   if (Machine.HoldCalls) {
     Machine.HeldCalls.push_back(std::move(Exchange));
     return;
@@ -237,13 +246,22 @@
         {"zone", Machine.Zone},
         {"slots", 9}}},
       {"status", {{"state", State}, {"sequence", ++Machine.Sequence}}}};
+  postToNode(Machine, "/instances/" + Machine.Instance + "/heartbeat",
+             Body.dump(), std::move(Done));
+}
+
+void node_mesh::postToNode(machine &Machine, const std::string &Path,
+                           const std::string &Body,
+                           std::function<void(int Status)> Done) {
   http1::request Request;
   Request.Method = "POST";
-  Request.Target = "/instances/" + Machine.Instance + "/heartbeat";
+  Request.Target = Path;
   Request.Headers.add("Host", Machine.Control.str());
-  Request.Body = Body.dump();
+  Request.Body = Body;
   Client.send(Machine.Control, Request, {}, [Done](http1::send_result Result) {
-    Done(Result.Response.Status);
+    Done(Result.Outcome == http1::send_outcome::Responded
+             ? Result.Response.Status
+             : 0);
   });
 }
 
--- a/standins/node_mesh.h
+++ b/standins/node_mesh.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <sys/types.h>
 
 namespace gentianlug::standin {
@@ -41,6 +42,8 @@
   /// Calls received while `HoldCalls` is set, without a response so far.
   std::vector<std::shared_ptr<http1::exchange>> HeldCalls;
   bool HoldCalls = false;
+  /// The server rejects calls for another instance.
+  bool ChecksInstance = false;
   /// Header fields that the server adds to each response, by name.
   std::map<std::string, std::string> ResponseHeaders;
   /// Padding appended to each response body of the server.
@@ -99,6 +102,11 @@
   void announce(
       machine &Machine, const char *State,
       std::function<void(int Status)> Done = [](int) {});
+  /// Sends any bytes to the announcement endpoint of the node; status 0 means
+  /// no response.
+  void postToNode(machine &Machine, const std::string &Path,
+                  const std::string &Body,
+                  std::function<void(int Status)> Done);
   /// Starts or stops the announcement of all servers every 100 ms.
   void setPeriodicAnnouncements(bool Enabled);
   /// Sends the response that a caller expects for the call, with additional
@@ -119,6 +127,8 @@
   std::vector<std::unique_ptr<machine>> Machines;
   /// Number of executions at all servers by call id.
   std::map<std::string, int> ExecutionsByCallId;
+  /// Names of the calling services in the calls that servers have received.
+  std::set<std::string> CallerServices;
   /// Number of malformed requests received by servers.
   int MalformedRequests = 0;
 
