Check text and depth where bytes become values

Cause: the id in the path was copied unchecked into the record of the server, and the JSON encoder throws on text that is not UTF-8. The same class: an object of the store that is nested 400,000 levels deep overflows the stack when it is copied (signal 11), names in the header between nodes, names of objects in paths to the store, log lines on arm64.

Nothing catches other exceptions.

--- a/fuzz/adapter_fuzz.cpp
+++ b/fuzz/adapter_fuzz.cpp
@@ -2,6 +2,7 @@
 #include "field_reader.h"
 #include "settings.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 using namespace gentianlug;
@@ -19,6 +20,43 @@
     std::abort();
 }
 
+/// Encodes what was decoded, as the node does for the store: the encoder throws
+/// on text that is not UTF-8.
+static void encodeAnnounced(std::string_view Text, const std::string &Id) {
+  auto Announcement = adapter::decodeAnnouncement(Text, Id);
+  if (!Announcement)
+    return;
+  mesh::server_record Record;
+  Record.Instance = Announcement->Instance;
+  Record.Service = Announcement->Service;
+  Record.Version = Announcement->Version;
+  Record.Zone = Announcement->Zone;
+  (void)adapter::encodeServer(Record).dump();
+}
+
+/// Reads the input as the path and the body of a message to the node, separated
+/// by a line feed.
+static void decodeMessage(std::string_view Text) {
+  std::size_t End = std::min(Text.find('\n'), Text.size());
+  std::string Target = "/instances/" + std::string(Text.substr(0, End)) + "/x";
+  auto Id = adapter::decodeInstanceId(Target, "/x");
+  if (Id)
+    encodeAnnounced(Text.substr(std::min(End + 1, Text.size())), *Id);
+}
+
+/// Reads the input as a response of the store and encodes what was decoded.
+static void decodeStoreResponse(std::string_view Text) {
+  nlohmann::json Value = adapter::parseSharedJson(Text);
+  auto Object = adapter::decodeObject(Value);
+  if (!Object)
+    return;
+  (void)adapter::percentEncode(Object->Name);
+  if (auto Server = adapter::decodeServer(*Object))
+    (void)adapter::encodeServer(*Server).dump();
+  if (auto Rollout = adapter::decodeRollout(*Object))
+    (void)adapter::encodeRolloutStatus(*Rollout).dump();
+}
+
 /// Feeds the input to each decoder for values from the platform or a server.
 // libFuzzer requires this name.
 // NOLINTNEXTLINE(readability-identifier-naming)
@@ -26,7 +64,8 @@
                                       std::size_t Size) {
   std::string_view Text(reinterpret_cast<const char *>(Data), Size);
   (void)adapter::decodeSettings(Text);
-  (void)adapter::decodeAnnouncement(Text, "instance");
+  decodeMessage(Text);
+  decodeStoreResponse(Text);
   nlohmann::json Value = adapter::parseJson(Text);
   (void)adapter::decodeConfiguration(Value);
   adapter::stored_object Synthetic;
--- a/libs/core/src/core.cpp
+++ b/libs/core/src/core.cpp
@@ -82,4 +82,67 @@
   return Printable;
 }
 
+static constexpr std::string_view ReplacementCharacter = "\xEF\xBF\xBD";
+
+/// Returns the length of the valid UTF-8 character at the start of \p Text; 0
+/// if there is none.
+static std::size_t utf8CharacterLength(std::string_view Text) {
+  auto ByteAt = [&](std::size_t Index) {
+    return Index < Text.size() ? static_cast<unsigned char>(Text[Index]) : 0U;
+  };
+  auto IsContinuation = [&](std::size_t Index, unsigned Min = 0x80,
+                            unsigned Max = 0xBF) {
+    return ByteAt(Index) >= Min && ByteAt(Index) <= Max;
+  };
+  unsigned First = ByteAt(0);
+  if (Text.empty() || (First >= 0x80 && First < 0xC2) || First > 0xF4)
+    return 0;
+  if (First < 0x80)
+    return 1;
+  if (First < 0xE0)
+    return IsContinuation(1) ? 2 : 0;
+  // The second byte excludes overlong forms, surrogates and values above
+  // U+10FFFF.
+  if (First < 0xF0) {
+    bool SecondValid = IsContinuation(1, First == 0xE0 ? 0xA0 : 0x80,
+                                      First == 0xED ? 0x9F : 0xBF);
+    return SecondValid && IsContinuation(2) ? 3 : 0;
+  }
+  bool SecondValid = IsContinuation(1, First == 0xF0 ? 0x90 : 0x80,
+                                    First == 0xF4 ? 0x8F : 0xBF);
+  return SecondValid && IsContinuation(2) && IsContinuation(3) ? 4 : 0;
+}
+
+bool isValidUtf8(std::string_view Text) {
+  while (!Text.empty()) {
+    std::size_t Length = utf8CharacterLength(Text);
+    if (Length == 0)
+      return false;
+    Text.remove_prefix(Length);
+  }
+  return true;
+}
+
+std::string replaceInvalidUtf8(std::string_view Text) {
+  std::string Valid;
+  while (!Text.empty()) {
+    std::size_t Length = utf8CharacterLength(Text);
+    Valid += Length == 0 ? ReplacementCharacter : Text.substr(0, Length);
+    Text.remove_prefix(Length == 0 ? 1 : Length);
+  }
+  return Valid;
+}
+
+bool isReadableText(std::string_view Text) {
+  for (char Byte : Text) {
+    constexpr unsigned char FirstPrintable = 0x20;
+    constexpr unsigned char Delete = 0x7f;
+    auto Code = static_cast<unsigned char>(Byte);
+    if (Code < FirstPrintable || Code == Delete)
+      return false;
+  }
+  return isValidUtf8(Text) &&
+         Text.find(ReplacementCharacter) == std::string_view::npos;
+}
+
 } // namespace gentianlug
--- a/libs/core/tests/core_test.cpp
+++ b/libs/core/tests/core_test.cpp
@@ -56,3 +56,21 @@
 TEST(text, ReplacesNonPrintableBytes) {
   STRCMP_EQUAL("a?b??", replaceNonPrintable("a\nb\xff\x7f").c_str());
 }
+
+// Guards against text that the JSON encoder rejects with an exception.
+TEST(text, InvalidUtf8IsFoundAndReplaced) {
+  for (const char *Valid :
+       {"", "abc", "\xC5\xBE", "\xE2\x82\xAC", "\xF0\x9F\x8C\xB1", "\x7f"})
+    CHECK_TEXT(isValidUtf8(Valid), Valid);
+  // A lone continuation, overlong forms, a surrogate, a value above U+10FFFF
+  // and characters that break off.
+  for (const char *Invalid :
+       {"\x80", "\xC0\x80", "\xE0\x80\x80", "\xED\xA0\x80", "\xF4\x90\x80\x80",
+        "\xC5", "\xE2\x82", "\xff\xfe"})
+    CHECK_FALSE(isValidUtf8(Invalid));
+  STRCMP_EQUAL("i-\xEF\xBF\xBD\xEF\xBF\xBDz",
+               replaceInvalidUtf8("i-\xff\xfez").c_str());
+  CHECK(isReadableText("i-7f3a91c2 \xC5\xBE"));
+  for (const char *Unreadable : {"a\nb", "\x7f", "\xff", "\xEF\xBF\xBD"})
+    CHECK_FALSE(isReadableText(Unreadable));
+}
--- a/libs/gateway/src/event_log.cpp
+++ b/libs/gateway/src/event_log.cpp
@@ -1,5 +1,7 @@
 #include "gentianlug/gateway/event_log.h"
 
+#include "gentianlug/core/text.h"
+
 #include <cstdio>
 #include <fcntl.h>
 #include <unistd.h>
@@ -13,15 +15,19 @@
 }
 
 static void appendText(std::string &Line, std::string_view Text) {
+  // A line with other bytes would be no JSON.
+  std::string Replaced;
+  if (!isValidUtf8(Text))
+    Text = Replaced = replaceInvalidUtf8(Text);
   Line += '"';
   for (char Byte : Text) {
-    constexpr char FirstPrintable = 0x20;
-    constexpr char Delete = 0x7f;
+    constexpr unsigned char FirstPrintable = 0x20;
+    constexpr unsigned char Delete = 0x7f;
+    auto Code = static_cast<unsigned char>(Byte);
     if (Byte == '"' || Byte == '\\') {
       Line += '\\';
       Line += Byte;
-    } else if (Byte < FirstPrintable || Byte == Delete) {
-      // Control characters and, where char is signed, all non-ASCII bytes.
+    } else if (Code < FirstPrintable || Code == Delete) {
       Line += '?';
     } else {
       Line += Byte;
--- a/libs/gateway/src/feed_codec.cpp
+++ b/libs/gateway/src/feed_codec.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/core/error_table.h"
 #include "gentianlug/gateway/mesh_feed.h"
+#include "gentianlug/settings/json_file.h"
 
 #include <nlohmann/json.hpp>
 
@@ -222,6 +223,8 @@
 /// JSON library to errors.
 template <class T, class Reader>
 static result<T> decode(std::string_view Text, Reader Read) {
+  if (settings::exceedsNestingDepth(Text, settings::MaxNestingDepth))
+    return makeError(feed_errc::MalformedFeed, "nested too deep");
   try {
     return Read(json::parse(Text));
   } catch (const json::exception &Failure) {
--- a/libs/gateway/src/peer_call.cpp
+++ b/libs/gateway/src/peer_call.cpp
@@ -1,5 +1,7 @@
 #include "gentianlug/gateway/peer_call.h"
 
+#include "gentianlug/core/text.h"
+
 #include <array>
 #include <charconv>
 #include <cstdlib>
@@ -16,6 +18,8 @@
 static constexpr const char *CallHeader = "gl-call";
 static constexpr const char *ServingHeader = "gl-serving";
 static constexpr std::size_t CallValueCount = 10;
+/// Largest time in a message, far above all timeouts of calls.
+static constexpr std::chrono::milliseconds MaxTime = std::chrono::hours(24);
 static constexpr std::size_t ServingValueCount = 6;
 
 /// Reason that carries `serving_result::NestedCallRejected`.
@@ -47,7 +51,8 @@
 
 static bool parse(std::string_view Text, std::chrono::milliseconds &Out) {
   std::int64_t Count = 0;
-  if (!parse(Text, Count))
+  if (!parse(Text, Count) || Count < -MaxTime.count() ||
+      Count > MaxTime.count())
     return false;
   Out = std::chrono::milliseconds(Count);
   return true;
@@ -105,6 +110,11 @@
   Call.Route = route_name(percentDecode(Parts[1]));
   Call.CallerService = service_name(percentDecode(Parts[2]));
   Call.CallId = percentDecode(Parts[3]);
+  // These names are logged and encoded in other messages.
+  for (const std::string &Name :
+       {Call.Instance, Call.Route.str(), Call.CallerService.str()})
+    if (!isValidUtf8(Name))
+      return std::nullopt;
   if (!parse(Parts[4], Call.RemainingTime) ||
       !parse(Parts[5], Call.MaxQueueTime) ||
       !parse(Parts[6], Call.QueuePriority))
--- a/libs/gateway/tests/messages_test.cpp
+++ b/libs/gateway/tests/messages_test.cpp
@@ -76,6 +76,28 @@
   UNSIGNED_LONGS_EQUAL(0, Headers.size());
 }
 
+// Guards against a name of a route that cannot be encoded in the evidence of a
+// rollout.
+TEST(PeerCall, RejectsNamesThatAreNoText) {
+  for (const char *Value :
+       {"i;r%ff;s;c;1;1;1;1;1;1", "i%c0%80;r;s;c;1;1;1;1;1;1",
+        "i;r;%ed%a0%80;c;1;1;1;1;1;1"}) {
+    http1::request Request;
+    Request.Headers.add("gl-call", Value);
+    CHECK_FALSE(extractPeerCall(Request).has_value());
+  }
+}
+
+// Guards against times of a peer that overflow the clock.
+TEST(PeerCall, RejectsTimesOutOfRange) {
+  for (const char *Value : {"i;r;s;c;9223372036854775807;1;1;1;1;1",
+                            "i;r;s;c;1;-9223372036854775807;1;1;1;1"}) {
+    http1::request Request;
+    Request.Headers.add("gl-call", Value);
+    CHECK_FALSE(extractPeerCall(Request).has_value());
+  }
+}
+
 TEST(PeerCall, ResultsKeepServerResponse) {
   serving_result Result;
   Result.Outcome = serving_outcome::Answered;
@@ -254,6 +276,16 @@
         std::string::npos);
 }
 
+// Guards against lines that are no JSON, because they quote bytes of a caller.
+TEST(EventLog, LinesAreValidUtf8) {
+  event_log Log(Pipe[1], "n1");
+  Log.write(observe::event::CallRefused,
+            {{"call", std::string_view("\xC5\xBE\xff\x01")}});
+  Log.flush();
+  CHECK(read().find("\"call\":\"\xC5\xBE\xEF\xBF\xBD?\"}") !=
+        std::string::npos);
+}
+
 // Guards against a node that blocks because the reader of its log has stopped.
 TEST(EventLog, DoesNotBlockOnFullPipe) {
   event_log Log(Pipe[1], "n1");
--- a/libs/settings/include/gentianlug/settings/json_file.h
+++ b/libs/settings/include/gentianlug/settings/json_file.h
@@ -16,6 +16,10 @@
 /// once per level, so unbounded nesting could overflow the stack.
 inline constexpr std::size_t MaxNestingDepth = 64;
 
+/// Returns whether arrays and objects of the JSON document \p Text are nested
+/// more than \p MaxDepth levels deep. Complexity: linear, without recursion.
+bool exceedsNestingDepth(std::string_view Text, std::size_t MaxDepth);
+
 /// Reads a file of at most `MaxFileBytes`.
 ///
 /// \returns the content, or `settings_errc::UnreadableFile` with path and
--- a/libs/settings/src/json_file.cpp
+++ b/libs/settings/src/json_file.cpp
@@ -43,6 +43,10 @@
   return Text;
 }
 
+bool exceedsNestingDepth(std::string_view Text, std::size_t MaxDepth) {
+  return detail::exceedsNestingDepth(Text, MaxDepth);
+}
+
 result<nlohmann::json> parseJson(std::string_view Text,
                                  const std::string &Path) {
   if (detail::exceedsNestingDepth(Text, MaxNestingDepth))
