Keep the fields that a node needs whatever Connection lists

Callers saw: a request with "Connection: Host" ended the node's process (signal 11), which cut the requests in flight; with "Connection: Request-Id" the answer lost the id by which it is matched.

Cause: the fields that Connection lists were removed before the node read the host and the parameters of the call.

Change: Host is never a field of a connection, the parameters are read first, and the id of the call is kept. A value of a header field with line ends is written with spaces, so that no name adds a field to a message.

Evidence: on the code before, ForeignWriter.ConnectionFieldsOfCallersDoNoHarm fails (no answer, process ended); with the change it and the new tests of Message pass.

--- a/libs/gateway/src/entry_task.cpp
+++ b/libs/gateway/src/entry_task.cpp
@@ -47,14 +47,24 @@
     Exchange.respond(std::move(Response));
   }
 
+  /// Removes the fields of this connection. The id of the call stays also if
+  /// the `Connection` field lists it, because responses are matched by it.
+  void removeConnectionFields(http1::request &Request,
+                              const std::string &CallId) const {
+    http1::removeHopByHopFields(Request.Headers);
+    const std::string &IdField = Entry.Context.Dialect.echoedHeader();
+    if (!CallId.empty() && !Request.Headers.find(IdField))
+      Request.Headers.add(IdField, CallId);
+  }
+
   void onRequest(std::shared_ptr<http1::exchange> Exchange) {
     constexpr int NotFound = 404;
     constexpr int Unavailable = 503;
     http1::request &Request = Exchange->receivedRequest();
     removePeerHeaders(Request.Headers);
-    http1::removeHopByHopFields(Request.Headers);
     call_parameters Parameters =
         Entry.Context.Dialect.readCallParameters(Request);
+    removeConnectionFields(Request, Parameters.CallId);
     if (RejectsNewCalls)
       return sendLocalResponse(*Exchange, Parameters.CallId, Unavailable,
                                "stopping");
--- a/libs/http1/include/gentianlug/http1/message.h
+++ b/libs/http1/include/gentianlug/http1/message.h
@@ -75,7 +75,7 @@
 bool isHopByHopField(std::string_view Name);
 
 /// Removes all hop-by-hop fields, including those listed in the `Connection`
-/// field.
+/// field, except `Host`.
 void removeHopByHopFields(header_list &Headers);
 
 /// Serializes the request line and header section of \p Request. A
--- a/libs/http1/src/message.cpp
+++ b/libs/http1/src/message.cpp
@@ -69,9 +69,16 @@
   return Names;
 }
 
+/// Returns whether the field \p Name is meant for all recipients of a message,
+/// so that a `Connection` field must not list it.
+static bool isNeverHopByHop(std::string_view Name) {
+  return equalIgnoringCase(Name, "host");
+}
+
 void removeHopByHopFields(header_list &Headers) {
   for (const std::string &Name : connectionOptions(Headers))
-    Headers.remove(Name);
+    if (!isNeverHopByHop(Name))
+      Headers.remove(Name);
   header_list EndToEnd;
   for (const header_field &Field : Headers)
     if (!isHopByHopField(Field.Name))
@@ -79,9 +86,19 @@
   Headers = std::move(EndToEnd);
 }
 
+/// Appends \p Value with a space in place of each character that would end the
+/// field: names of other processes must not add fields.
+static void appendFieldValue(std::string &Head, const std::string &Value) {
+  for (char Byte : Value)
+    Head += Byte == '\r' || Byte == '\n' || Byte == '\0' ? ' ' : Byte;
+}
+
 static void appendFields(std::string &Head, const header_list &Headers) {
-  for (const header_field &Field : Headers)
-    Head.append(Field.Name).append(": ").append(Field.Value).append("\r\n");
+  for (const header_field &Field : Headers) {
+    Head.append(Field.Name).append(": ");
+    appendFieldValue(Head, Field.Value);
+    Head += "\r\n";
+  }
 }
 
 std::string encodeHead(const request &Request) {
--- a/libs/http1/tests/message_reader_test.cpp
+++ b/libs/http1/tests/message_reader_test.cpp
@@ -136,6 +136,27 @@
   CHECK(Headers.find("kept") != nullptr);
 }
 
+// Guards against a request without `Host`, which routing needs, because the
+// client has listed it as a field of its connection.
+TEST(Message, HostIsNoFieldOfAConnection) {
+  header_list Headers;
+  Headers.add("Host", "h");
+  Headers.add("X-Hop", "1");
+  Headers.add("Connection", "HOST, x-hop");
+  removeHopByHopFields(Headers);
+  CHECK(Headers.find("host") != nullptr);
+  UNSIGNED_LONGS_EQUAL(1, Headers.size());
+}
+
+// Guards against values of other processes that add fields to a message.
+TEST(Message, FieldValuesAddNoFields) {
+  request Request;
+  Request.Method = "GET";
+  Request.Target = "/";
+  Request.Headers.add("A", std::string("x\r\nB: y\0z", 9));
+  STRCMP_CONTAINS("A: x  B: y z\r\n", encodeHead(Request).c_str());
+}
+
 TEST(Message, FramesBodiesByContentLength) {
   request Request;
   Request.Method = "POST";
