Give a new controller of a rollout its time to respond

Cause: a node took over when the last response of any controller was old.

Change: when the record names another controller, the time without a response starts anew, and the report to the former one is given up.

Evidence: RolloutTask.NewControllerGetsItsTimeToRespond fails on the code before (a record is written at once) and passes with the change.

--- a/libs/gateway/src/rollout_task.cpp
+++ b/libs/gateway/src/rollout_task.cpp
@@ -126,6 +126,8 @@
     }
     auto Now = Context.Clock.steadyNow();
     if (Rollout) {
+      if (Record->Controller != Rollout->Controller.record().Controller)
+        onControllerChanged(Now);
       Rollout->Controller.onRecord(*Record, Now);
     } else if (const version_name *Base =
                    Versions.baseVersion(Server->Service)) {
@@ -139,6 +141,15 @@
     }
   }
 
+  /// Gives the new controller its time to respond before another node takes
+  /// over, and lets the next report go to it.
+  void onControllerChanged(steady_time Now) {
+    LastControllerContact = Now;
+    EvidenceTimeoutTimer.cancel();
+    if (auto Ticket = std::exchange(ActiveEvidence, std::nullopt))
+      Peers.cancel(*Ticket);
+  }
+
   std::vector<route_name> serviceRoutes() const {
     std::vector<route_name> Names;
     if (!Configuration)
--- a/libs/gateway/tests/rollout_task_test.cpp
+++ b/libs/gateway/tests/rollout_task_test.cpp
@@ -227,6 +227,27 @@
   CHECK_EQUAL(1, Store.BaseVersionWrites);
 }
 
+// Guards against two nodes that take the rollout from each other again and
+// again, because neither waits for the response of the new controller.
+TEST(RolloutTask, NewControllerGetsItsTimeToRespond) {
+  Environment.Clock.advance(0ms);
+  mesh::rollout_record Record = record(mesh::rollout_stage::Running);
+  Record.Elapsed = 10s;
+  Record.Controller = node_id("n2");
+  Record.ControllerAddress = {"127.0.0.1", http1::freePort()};
+  setServer(true);
+  setRollout(Record);
+  Environment.Clock.advance(5s);
+  Record.Controller = node_id("n3");
+  Record.Revision = 6;
+  setRollout(Record);
+  awaitEvaluations();
+  CHECK(Store.RolloutWrites.empty());
+  Environment.Clock.advance(2s);
+  runUntil(Environment.Loop, [&] { return Store.RolloutWrites.size() == 1; });
+  CHECK(Store.RolloutWrites.back().Controller == node_id("n1"));
+}
+
 // Guards against a node that sends no evidence any more after one controller
 // has accepted a connection and never answered.
 TEST(RolloutTask, SilentControllerDoesNotStopTheEvidence) {
