Let a successor complete a rollout that its controller had proven

Cause: the evidence of a controller's own server ends with its process. A successor after the switch often could not prove the rest within the limit for exposed calls and rolled a good version back.

Change: the record says when a controller has ruled out a fault. After a hand-over that counts in place of the lost evidence: the successor completes the rollout unless its own evidence speaks for a fault. Without a hand-over the limit holds as before.

RolloutController.SuccessorCompletesWhatItsPredecessorHasProven and SuccessorRollsBackWhatTurnsBad are new.

--- a/libs/gateway/src/feed_codec.cpp
+++ b/libs/gateway/src/feed_codec.cpp
@@ -97,12 +97,18 @@
 }
 
 static json encode(const mesh::rollout_record &Record) {
-  return {Record.Service.str(),    Record.TargetVersion.str(),
-          Record.Duration.count(), int(Record.Stage),
-          Record.TrafficShare,     Record.Elapsed.count(),
-          Record.Controller.str(), Record.ControllerAddress.str(),
-          Record.Reason,           Record.Revision,
-          Record.BaseVersion.str()};
+  return {Record.Service.str(),
+          Record.TargetVersion.str(),
+          Record.Duration.count(),
+          int(Record.Stage),
+          Record.TrafficShare,
+          Record.Elapsed.count(),
+          Record.Controller.str(),
+          Record.ControllerAddress.str(),
+          Record.Reason,
+          Record.Revision,
+          Record.BaseVersion.str(),
+          Record.FaultRuledOut};
 }
 
 static mesh::rollout_record decodeRollout(const json &Value) {
@@ -118,6 +124,7 @@
   Record.Reason = Value.at(8);
   Record.Revision = Value.at(9);
   Record.BaseVersion = version_name(Value.at(10).get<std::string>());
+  Record.FaultRuledOut = Value.at(11);
   return Record;
 }
 
--- a/libs/gateway/tests/messages_test.cpp
+++ b/libs/gateway/tests/messages_test.cpp
@@ -234,6 +234,7 @@
   Record.TrafficShare = 0.15;
   Record.Duration = 16s;
   Record.BaseVersion = version_name("v1");
+  Record.FaultRuledOut = true;
   Control.Rollouts.push_back(Record);
   State.setControlState(Control);
   auto Update = updateFor({});
--- a/libs/mesh/include/gentianlug/mesh/rollout_controller.h
+++ b/libs/mesh/include/gentianlug/mesh/rollout_controller.h
@@ -115,6 +115,8 @@
   /// Calls of the new version before it received all calls, if this controller
   /// has seen the switch.
   std::optional<version_counts> AtSwitch;
+  /// The rollout has changed its controller since the switch.
+  bool Succeeded = false;
   /// When `Record.Elapsed` was current.
   steady_time ElapsedObservedAt;
   /// When the stage or the share last changed.
--- a/libs/mesh/include/gentianlug/mesh/version_policy.h
+++ b/libs/mesh/include/gentianlug/mesh/version_policy.h
@@ -48,6 +48,10 @@
   /// after a rollback. Empty if no node has controlled a rollout of the service
   /// since the object was created.
   version_name BaseVersion;
+  /// A controller has ruled out a fault of the switched rollout. Its successor
+  /// lacks the evidence that ended with it, and completes the rollout unless
+  /// the rest speaks for a fault.
+  bool FaultRuledOut = false;
   /// Revision of the stored object, and of the rollout order in it.
   object_revision Revision = 0;
 
--- a/libs/mesh/src/rollout_controller.cpp
+++ b/libs/mesh/src/rollout_controller.cpp
@@ -70,6 +70,7 @@
   Evaluator.start(Scope);
   SlowEvaluator.start(Scope);
   nameBaseVersion();
+  Succeeded = Record.Stage == rollout_stage::Switching;
 }
 
 void rollout_controller::onEvidence(const rollout::server_evidence &Evidence) {
@@ -117,6 +118,9 @@
     AtSwitch = NewCounts;
   if (Next.Elapsed != Record.Elapsed || Next.Stage != Record.Stage)
     ElapsedObservedAt = Now;
+  if (Record.Stage == rollout_stage::Switching &&
+      Next.Controller != Record.Controller)
+    Succeeded = true;
   Record = Next;
   nameBaseVersion();
 }
@@ -135,6 +139,7 @@
                                               std::string Reason,
                                               steady_time Now) const {
   rollout_record Next = Record;
+  Next.FaultRuledOut = Stage == rollout_stage::Switching && isFaultRuledOut();
   Next.Stage = Stage;
   Next.TrafficShare = Share;
   Next.Elapsed = elapsed(Now);
@@ -268,13 +273,20 @@
                       "most servers are quarantined", Now);
   rollout_progress Progress = progress(Now);
   double BeforeRollback = callsPerSecond(Progress) * RollbackTime.count();
-  if (!isFaultRuledOut() && double(Progress.NewCalls) + BeforeRollback >=
-                                allowedNewCalls(Bounds, Progress))
+  bool RuledOut = isFaultRuledOut();
+  // A successor lacks the evidence that ended with its predecessor.
+  bool RuledOutBefore = Succeeded && Record.FaultRuledOut;
+  if (!RuledOut && !RuledOutBefore &&
+      double(Progress.NewCalls) + BeforeRollback >=
+          allowedNewCalls(Bounds, Progress))
     return makeRecord(rollout_stage::RolledBack, 0,
                       "not proven within the limit of exposed calls", Now);
-  if (isFaultRuledOut() &&
+  bool MayComplete = RuledOut || (RuledOutBefore && isFaultUnlikely());
+  if (MayComplete &&
       Now - StepStartedAt >= Context.MaxCallDuration + PropagationTime)
     return makeRecord(rollout_stage::Completed, 1, "no fault found", Now);
+  if (RuledOut && !Record.FaultRuledOut)
+    return makeRecord(rollout_stage::Switching, 1, "fault ruled out", Now);
   if (Progress.Elapsed >= fractionOf(Record.Duration, CompletionDeadline))
     return makeRecord(rollout_stage::RolledBack, 0, "not proven in time", Now);
   return std::nullopt;
--- a/libs/mesh/tests/rollout_controller_test.cpp
+++ b/libs/mesh/tests/rollout_controller_test.cpp
@@ -77,6 +77,16 @@
       Controller->onRecord(*Next, Now);
     }
   }
+  void runUntilRuledOut() {
+    while (!Controller->record().FaultRuledOut)
+      runPeriod();
+    CHECK(Controller->record().Stage == rollout_stage::Switching);
+  }
+  void startSuccessor() {
+    Controller = std::make_unique<rollout_controller>(
+        Controller->record(), version_name("v1"),
+        std::vector<route_name>{route_name("r")}, mesh_bounds{}, Now);
+  }
   void runUntilEnd(std::size_t NewServers = 2) {
     while (Now < StartedAt + 16s)
       runPeriod(NewServers);
@@ -143,6 +153,55 @@
         rollout_stage::Completed);
 }
 
+// Guards against a successor that rolls a good version back, because its first
+// controller has ended with a part of the evidence after it had ruled out a
+// fault.
+TEST(RolloutController, SuccessorCompletesWhatItsPredecessorHasProven) {
+  runUntilRuledOut();
+  startSuccessor();
+  Controller->onEvidence(evidence("v1", 600, 0.002));
+  Controller->onEvidence(evidence("v2", 150, 0));
+  Controller->evaluate();
+  CHECK_FALSE(Controller->nextRecord({2, 1000ms}, Now).has_value());
+  CHECK(Controller->nextRecord({2, 1000ms}, Now + 3s)->Stage ==
+        rollout_stage::Completed);
+}
+
+// Guards against a successor that completes a version that has turned bad since
+// its predecessor had ruled out a fault.
+TEST(RolloutController, SuccessorRollsBackWhatTurnsBad) {
+  runUntilRuledOut();
+  startSuccessor();
+  Controller->onEvidence(evidence("v1", 600, 0.002));
+  Controller->onEvidence(evidence("v2", 150, 0.3));
+  Controller->evaluate();
+  CHECK(Controller->nextRecord({2, 1000ms}, Now)->Stage ==
+        rollout_stage::RolledBack);
+}
+
+// Guards against a controller that excuses missing evidence by what it had
+// ruled out before the switch: the limit for exposure holds unless there was a
+// hand-over.
+TEST(RolloutController, OnlyASuccessorReliesOnEarlierEvidence) {
+  rollout_record Record = Controller->record();
+  Record.Stage = rollout_stage::Running;
+  Record.Controller = node_id("n1");
+  rollout_controller First(Record, version_name("v1"), {route_name("r")},
+                           mesh_bounds{}, Now);
+  Record.Stage = rollout_stage::Switching;
+  Record.FaultRuledOut = true;
+  First.onRecord(Record, Now);
+  // Most calls of the new version have not been reported yet.
+  rollout::server_evidence Unproven = evidence("v2", 20, 0);
+  Unproven.Starts = 2000;
+  First.onEvidence(Unproven);
+  First.evaluate();
+  CHECK(First.nextRecord({2, 1000ms}, Now)->Stage == rollout_stage::RolledBack);
+  Record.Controller = node_id("n2");
+  First.onRecord(Record, Now);
+  CHECK_FALSE(First.nextRecord({2, 1000ms}, Now).has_value());
+}
+
 TEST(RolloutController, VersionThatFailsLateIsRolledBack) {
   while (Now < StartedAt + 5s)
     runPeriod();
