Close a connection after a response without the echoed ID

Cause: servers echo the ID of a request, but a rejection may come without it. A second copy of one that arrives during the next request on its connection has nothing that tells it from the answer to that request, and says "not executed".

Change: a connection is not used again after a response without the echo. Each later response without it then belongs to the only request of its connection; copies with another ID were discarded before. It costs a new connection for each such rejection.

--- a/libs/http1/include/gentianlug/http1/client_pool.h
+++ b/libs/http1/include/gentianlug/http1/client_pool.h
@@ -38,7 +38,7 @@
   std::chrono::milliseconds MaxIdleTime{5000};
   /// Name of a request header field that the server echoes in its response, or
   /// "". A response with another value belongs to an earlier request and is
-  /// discarded.
+  /// discarded. After a response without the field the connection is closed.
   std::string EchoedHeader;
 };
 
--- a/libs/http1/src/client_pool.cpp
+++ b/libs/http1/src/client_pool.cpp
@@ -161,6 +161,11 @@
       Reusable = false;
       return;
     }
+    // A second copy of a response without an echo could arrive during the next
+    // request and be taken for its response.
+    bool HasEcho = Response.Headers.find(EchoedHeader) != nullptr;
+    if (!EchoedHeader.empty() && !HasEcho)
+      Reusable = false;
     // If the response arrives before the whole request is sent, the rest of the
     // body would precede the next request on this connection.
     if (!Response.KeepAlive || HasSurplusBytes || Socket.hasUnsentBytes())
--- a/libs/http1/tests/client_pool_test.cpp
+++ b/libs/http1/tests/client_pool_test.cpp
@@ -218,6 +218,28 @@
   LONGS_EQUAL(204, Results[1].Response.Status);
 }
 
+// Guards against a late second copy of a response without an echo, such as a
+// rejection, that is taken for the response to the next request on its
+// connection: no echo tells it from that one.
+TEST(ClientPool, ConnectionEndsAfterAResponseWithoutEcho) {
+  const std::string Rejection =
+      "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  send("a1");
+  awaitRequests(1);
+  Peer.respond(0, Rejection);
+  awaitResults(1);
+  LONGS_EQUAL(503, Results[0].Response.Status);
+  send("a2");
+  awaitRequests(2);
+  Peer.respond(0, Rejection);
+  CHECK_EQUAL(2, Peer.AcceptedFds.size());
+  Peer.respond(1, responseTo("a2"));
+  awaitResults(2);
+  CHECK(Results[1].Outcome == send_outcome::Responded);
+  LONGS_EQUAL(200, Results[1].Response.Status);
+  CHECK_EQUAL(2, Pool.openedConnections());
+}
+
 // Guards against a response without a length that looks complete although its
 // connection was reset.
 TEST(ClientPool, ResetEndsAResponseWithoutLengthIncomplete) {
