Admit calls by the API keys of client accounts

Cause: nothing knew accounts. Change: accounts and keys are decoded, checked and distributed like routes, as changes. An entry node looks the key up, removes it, passes the account's name on and uses the account's priority. Where a withdrawal time is asked for, it accepts keys only while its configuration is confirmed to be the newest within that time: nodes that watch the store ask it for missed changes, relays pass the time on. The message tests for malformed headers of nodes got the new, eleventh value; otherwise they would have been refused for their number of values alone.

--- a/libs/core/include/gentianlug/core/ids.h
+++ b/libs/core/include/gentianlug/core/ids.h
@@ -15,6 +15,7 @@
 using version_name = strong_id<struct version_name_tag>;
 using route_name = strong_id<struct route_name_tag>;
 using customer_name = strong_id<struct customer_name_tag>;
+using account_name = strong_id<struct account_name_tag>;
 using call_id = strong_id<struct call_id_tag>;
 
 /// Version of an accepted configuration; 0 means that none is known.
--- a/libs/gateway/include/gentianlug/gateway/call_dialect.h
+++ b/libs/gateway/include/gentianlug/gateway/call_dialect.h
@@ -16,6 +16,8 @@
   std::string CallId;
   /// Timeout of the caller, if it sent one.
   std::optional<std::chrono::milliseconds> Timeout;
+  /// API key of the caller, if it sent exactly one.
+  std::optional<std::string> ApiKey;
 };
 
 /// Call parameters that are sent to a backend server.
@@ -26,6 +28,8 @@
   std::string Instance;
   /// Service beside the node at which the call entered the mesh.
   service_name CallerService;
+  /// Client account that makes the call; empty if there is none.
+  account_name Account;
 };
 
 /// Classification of a server's response.
@@ -74,6 +78,9 @@
 
   virtual call_parameters
   readCallParameters(const http1::request &Request) const = 0;
+  /// Removes the API key of the caller and what the caller says about its
+  /// account.
+  virtual void removeAccountFields(http1::request &Request) const = 0;
   virtual void writeServerCall(http1::request &Request,
                                const server_call &Call) const = 0;
   virtual response_class
--- a/libs/gateway/include/gentianlug/gateway/entry_task.h
+++ b/libs/gateway/include/gentianlug/gateway/entry_task.h
@@ -43,6 +43,9 @@
   void onLocalService(const service_name &Service);
   /// Sets whether the configuration is known to be up to date.
   void setConfigurationCurrent(bool Current);
+  /// The store held no newer configuration at \p AsOf, or later.
+  void onConfigurationConfirmed(steady_time AsOf);
+  void onBounds(const mesh::mesh_bounds &Bounds);
   /// From now on, each response asks its client to close the connection.
   void startDraining();
   /// Refuses new calls because they may not complete before the node stops.
--- a/libs/gateway/include/gentianlug/gateway/gateway_node.h
+++ b/libs/gateway/include/gentianlug/gateway/gateway_node.h
@@ -76,6 +76,7 @@
   void onRollouts(std::vector<mesh::rollout_record> Rollouts) override;
   void onZonesOutOfService(std::set<zone_name> Zones) override;
   void onSyncState(bool InSync) override;
+  void onConfigurationConfirmed(steady_time AsOf) override;
 
 private:
   struct impl;
--- a/libs/gateway/include/gentianlug/gateway/mesh_feed.h
+++ b/libs/gateway/include/gentianlug/gateway/mesh_feed.h
@@ -47,6 +47,11 @@
   std::vector<route_name> RemovedRoutes;
   std::vector<mesh::service> Services;
   mesh::caller_limits Limits;
+  bool RequiresApiKeys = false;
+  /// Changed accounts, sorted by name; all accounts if `BaseVersion` is 0.
+  mesh::account_list Accounts;
+  /// Sorted by name.
+  std::vector<account_name> RemovedAccounts;
 };
 
 /// Response of a relay to a poll: everything that changed since the cursor of
--- a/libs/gateway/include/gentianlug/gateway/mesh_store.h
+++ b/libs/gateway/include/gentianlug/gateway/mesh_store.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLUG_GATEWAY_MESH_STORE_H
 #define GENTIANLUG_GATEWAY_MESH_STORE_H
 
+#include "gentianlug/core/clock.h"
 #include "gentianlug/mesh/version_policy.h"
 
 #include <chrono>
@@ -29,6 +30,9 @@
   /// \param InSync whether the store is being watched and the data passed so
   ///   far is known to be current.
   virtual void onSyncState(bool InSync) = 0;
+  /// The store held no configuration newer than the last one passed on at
+  /// \p AsOf, or later.
+  virtual void onConfigurationConfirmed(steady_time AsOf) = 0;
 };
 
 /// Periodic probe by which a relay detects that the store is unreachable.
@@ -59,6 +63,11 @@
   /// unreachable; stops them if \p Check is empty.
   virtual void
   setHealthCheck(const std::optional<store_health_check> &Check) = 0;
+  /// Checks at every \p Period, while the store is watched, that the
+  /// configuration is the newest one, and reports it to the watcher. These
+  /// requests take the place of the probes of `setHealthCheck`. Empty to stop.
+  virtual void
+  setConfirmationPeriod(std::optional<std::chrono::milliseconds> Period) = 0;
   /// Stores the record of this node's server. Retries until the write succeeds
   /// or a newer record replaces it; runs \p Done on success.
   virtual void publishServer(const mesh::server_record &Record,
--- a/libs/gateway/include/gentianlug/gateway/peer_call.h
+++ b/libs/gateway/include/gentianlug/gateway/peer_call.h
@@ -17,6 +17,8 @@
   std::string Instance;
   route_name Route;
   service_name CallerService;
+  /// Client account that makes the call; empty if there is none.
+  account_name Account;
   /// Empty in a message if it is that of the request.
   std::string CallId;
   /// Time until the deadline.
--- a/libs/gateway/include/gentianlug/gateway/serving_task.h
+++ b/libs/gateway/include/gentianlug/gateway/serving_task.h
@@ -92,6 +92,10 @@
   /// call. Complexity: linear in the running calls.
   std::optional<enclosing_call>
   findEnclosingCall(const std::string &CallId) const;
+  /// Returns whether \p CallId may be that of a call that the server made for
+  /// one that it no longer runs: one that ended a short time ago, or one from
+  /// before this node started. Complexity: linear in the ended calls.
+  bool mayBelongToEndedCall(const std::string &CallId) const;
   /// The mesh rejected a call that the server made for the call \p EnclosingId.
   void onNestedCallRejected(const std::string &EnclosingId);
   /// Sets the function that returns the unsent bytes of the node's other
--- a/libs/gateway/src/entry_call.cpp
+++ b/libs/gateway/src/entry_call.cpp
@@ -150,6 +150,7 @@
   Call.Instance = Target.Instance;
   Call.Route = Plan.Route;
   Call.CallerService = Entry.LocalService;
+  Call.Account = Plan.Account;
   Call.CallId = Plan.CallId;
   Call.RemainingTime = remainingTime();
   Call.MaxQueueTime =
--- a/libs/gateway/src/entry_call.h
+++ b/libs/gateway/src/entry_call.h
@@ -38,6 +38,8 @@
   /// Version of the configuration that defines the route.
   config_version ConfigVersion = 0;
   service_name Service;
+  /// Client account that makes the call; empty if there is none.
+  account_name Account;
   bool Idempotent = false;
   std::uint32_t MaxAttempts = 1;
   std::uint32_t QueuePriority = 0;
--- a/libs/gateway/src/entry_task.cpp
+++ b/libs/gateway/src/entry_task.cpp
@@ -1,6 +1,7 @@
 #include "gentianlug/gateway/entry_task.h"
 
 #include "entry_call.h"
+#include "gentianlug/mesh/account_gate.h"
 
 namespace gentianlug::gateway {
 
@@ -12,12 +13,14 @@
 /// Retry-After of calls refused before an attempt, for example because the node
 /// has just started and has no configuration.
 static constexpr std::chrono::milliseconds StartupRetryAfter{300};
+static constexpr int Unauthorized = 401;
 
 struct entry_task::impl {
   entry_state Entry;
   std::unique_ptr<http1::server> Listener;
   std::unique_ptr<mesh::route_table> Routes;
   http1::link_pacer &Pacer;
+  mesh::account_gate Accounts;
   bool ConfigurationCurrent = false;
   bool RejectsNewCalls = false;
 
@@ -43,10 +46,56 @@
                                 std::to_string(Status) + "\"}");
     http1::response Response;
     Response.Status = Status;
+    if (Status == Unauthorized)
+      Response.Headers.add("WWW-Authenticate", "Bearer");
     Entry.Context.Dialect.addLocalResponseHeaders(Response, CallId, RetryAfter);
     Exchange.respond(std::move(Response));
   }
 
+  /// Returns the origin of a call; one with a key comes from a client.
+  mesh::call_origin
+  originOf(const call_parameters &Parameters,
+           const std::optional<enclosing_call> &Enclosing) const {
+    if (Parameters.ApiKey)
+      return mesh::call_origin::Client;
+    if (Enclosing)
+      return mesh::call_origin::RunningCall;
+    return Entry.Local.mayBelongToEndedCall(Parameters.CallId)
+               ? mesh::call_origin::EndedCall
+               : mesh::call_origin::Client;
+  }
+
+  /// Checks the account of a call and removes what the caller says about it.
+  /// Returns nothing if the call was rejected.
+  std::optional<mesh::access_decision>
+  checkAccess(http1::exchange &Exchange, const mesh::route &Route,
+              const call_parameters &Parameters,
+              const std::optional<enclosing_call> &Enclosing) {
+    if (!Accounts.requiresKeys())
+      return mesh::access_decision{};
+    Entry.Context.Dialect.removeAccountFields(Exchange.receivedRequest());
+    auto Decision = Accounts.checkAccess(Route, Parameters.ApiKey,
+                                         originOf(Parameters, Enclosing),
+                                         Entry.Context.Clock.steadyNow());
+    constexpr int Unavailable = 503;
+    switch (Decision.Access) {
+    case mesh::access_result::Granted:
+      return Decision;
+    case mesh::access_result::UnknownKey:
+      Entry.Context.Metrics.count("account_rejections_total{reason=\"key\"}");
+      sendLocalResponse(Exchange, Parameters.CallId, Unauthorized,
+                        Parameters.ApiKey ? "unknown-key" : "no-key");
+      return std::nullopt;
+    case mesh::access_result::Unconfirmed:
+      Entry.Context.Metrics.count(
+          "account_rejections_total{reason=\"unconfirmed\"}");
+      sendLocalResponse(Exchange, Parameters.CallId, Unavailable,
+                        "key-unconfirmed");
+      return std::nullopt;
+    }
+    return std::nullopt;
+  }
+
   /// Removes the fields of this connection. The id of the call stays also if
   /// the `Connection` field lists it, because responses are matched by it.
   void removeConnectionFields(http1::request &Request,
@@ -79,6 +128,10 @@
       return sendLocalResponse(*Exchange, Parameters.CallId,
                                ConfigurationCurrent ? NotFound : Unavailable,
                                "no-route");
+    auto Enclosing = Entry.Local.findEnclosingCall(Parameters.CallId);
+    auto Access = checkAccess(*Exchange, *Route, Parameters, Enclosing);
+    if (!Access)
+      return;
     const service_name *Service =
         mesh::route_table::selectService(*Route, Entry.Context.Gen);
     if (!Service || Listener->pendingRequests() > MaxCallsInFlight)
@@ -91,12 +144,17 @@
     Plan.Service = *Service;
     Plan.Idempotent = Route->Kind == mesh::call_kind::Idempotent;
     Plan.MaxAttempts = Route->MaxAttempts;
-    if (auto Enclosing = Entry.Local.findEnclosingCall(Parameters.CallId)) {
+    std::uint32_t Priority = Route->Priority;
+    if (Access->Account) {
+      Plan.Account = Access->Account->Name;
+      Priority = Access->Account->Priority.value_or(Priority);
+    }
+    if (Enclosing) {
       Plan.QueuePriority = mesh::NestedCallPriority;
       Plan.EnclosingId = Enclosing->CallId;
       Plan.InheritedRetry = Enclosing->IsRetry;
     } else {
-      Plan.QueuePriority = mesh::NestedCallPriority + 1 + Route->Priority;
+      Plan.QueuePriority = mesh::NestedCallPriority + 1 + Priority;
     }
     Plan.TargetLatency = Route->TargetLatency;
     Plan.ArrivedAt = Entry.Context.Clock.steadyNow();
@@ -139,6 +197,14 @@
   Limits.HeadTimeout = Next->Limits.HeaderTimeout;
   Limits.IdleTimeout = Next->Limits.IdleTimeout;
   Impl->Listener->setLimits(Limits);
+  Impl->Accounts.setConfiguration(*Next);
+  if (Next->RequiresApiKeys) {
+    observe::metric_set &Metrics = Impl->Entry.Context.Metrics;
+    const mesh::account_directory &Directory = Impl->Accounts.accounts();
+    Metrics.gauge("accounts", double(Next->Accounts.size()));
+    Metrics.gauge("account_keys", double(Directory.keyCount()));
+    Metrics.gauge("account_keys_shared", double(Directory.sharedKeyCount()));
+  }
   Impl->Routes = std::make_unique<mesh::route_table>(std::move(Next));
 }
 
@@ -160,6 +226,15 @@
 
 void entry_task::setConfigurationCurrent(bool Current) {
   Impl->ConfigurationCurrent = Current;
+  Impl->Accounts.setCurrent(Current);
+}
+
+void entry_task::onConfigurationConfirmed(steady_time AsOf) {
+  Impl->Accounts.onConfirmed(AsOf);
+}
+
+void entry_task::onBounds(const mesh::mesh_bounds &Bounds) {
+  Impl->Accounts.setWithdrawalTime(Bounds.KeyWithdrawalTime);
 }
 
 void entry_task::startDraining() { Impl->Listener->startDraining(); }
--- a/libs/gateway/src/feed_codec.cpp
+++ b/libs/gateway/src/feed_codec.cpp
@@ -2,6 +2,7 @@
 #include "gentianlug/gateway/mesh_feed.h"
 #include "gentianlug/settings/json_file.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace gentianlug::gateway {
@@ -28,7 +29,7 @@
           Route.PathPrefix,      int(Route.Kind),
           Route.Timeout.count(), Route.TargetLatency.count(),
           Route.Priority,        Route.MaxAttempts,
-          std::move(Services)};
+          std::move(Services),   Route.IsPublic};
 }
 
 static mesh::route decodeRoute(const json &Value) {
@@ -45,9 +46,54 @@
   for (const json &Each : Value.at(8))
     Route.Services.push_back(
         {service_name(Each.at(0).get<std::string>()), Each.at(1)});
+  Route.IsPublic = Value.at(9);
   return Route;
 }
 
+static json encode(const mesh::client_account &Account) {
+  return {Account.Name.str(), Account.ApiKeys,
+          Account.Priority ? json(*Account.Priority) : json()};
+}
+
+static std::shared_ptr<const mesh::client_account>
+decodeAccount(const json &Value) {
+  mesh::client_account Account;
+  Account.Name = account_name(Value.at(0).get<std::string>());
+  Account.ApiKeys = Value.at(1).get<std::vector<std::string>>();
+  if (!Value.at(2).is_null())
+    Account.Priority = Value.at(2).get<std::uint32_t>();
+  return std::make_shared<const mesh::client_account>(std::move(Account));
+}
+
+static void encodeAccounts(const config_change &Change, json &Value) {
+  if (!Change.RequiresApiKeys)
+    return;
+  json Accounts = json::array();
+  for (const auto &Account : Change.Accounts)
+    Accounts.push_back(encode(*Account));
+  json Removed = json::array();
+  for (const account_name &Name : Change.RemovedAccounts)
+    Removed.push_back(Name.str());
+  Value["accounts"] = std::move(Accounts);
+  Value["accounts_removed"] = std::move(Removed);
+}
+
+/// Decodes accounts and sorts them by name, as their users expect.
+static void decodeAccounts(const json &Value, config_change &Change) {
+  Change.RequiresApiKeys = Value.contains("accounts");
+  if (!Change.RequiresApiKeys)
+    return;
+  for (const json &Each : Value.at("accounts"))
+    Change.Accounts.push_back(decodeAccount(Each));
+  std::sort(Change.Accounts.begin(), Change.Accounts.end(),
+            [](const auto &Left, const auto &Right) {
+              return Left->Name < Right->Name;
+            });
+  for (const json &Each : Value.at("accounts_removed"))
+    Change.RemovedAccounts.emplace_back(Each.get<std::string>());
+  std::sort(Change.RemovedAccounts.begin(), Change.RemovedAccounts.end());
+}
+
 static json encode(const mesh::service &Service) {
   return {Service.Name.str(), Service.HealthPath, Service.ColdCallsPerSecond};
 }
@@ -139,14 +185,16 @@
   for (const mesh::service &Service : Change.Services)
     Services.push_back(encode(Service));
   const mesh::caller_limits &Limits = Change.Limits;
-  return {{"version", Change.Version},
-          {"base", Change.BaseVersion},
-          {"routes", std::move(Routes)},
-          {"removed", std::move(Removed)},
-          {"services", std::move(Services)},
-          {"limits",
-           {Limits.MaxHeaderBytes, Limits.MaxBodyBytes,
-            Limits.HeaderTimeout.count(), Limits.IdleTimeout.count()}}};
+  json Value = {{"version", Change.Version},
+                {"base", Change.BaseVersion},
+                {"routes", std::move(Routes)},
+                {"removed", std::move(Removed)},
+                {"services", std::move(Services)},
+                {"limits",
+                 {Limits.MaxHeaderBytes, Limits.MaxBodyBytes,
+                  Limits.HeaderTimeout.count(), Limits.IdleTimeout.count()}}};
+  encodeAccounts(Change, Value);
+  return Value;
 }
 
 static config_change decodeConfigChange(const json &Value) {
@@ -166,6 +214,7 @@
       std::chrono::milliseconds(Limits.at(2).get<std::int64_t>());
   Change.Limits.IdleTimeout =
       std::chrono::milliseconds(Limits.at(3).get<std::int64_t>());
+  decodeAccounts(Value, Change);
   return Change;
 }
 
--- a/libs/gateway/src/feed_state.cpp
+++ b/libs/gateway/src/feed_state.cpp
@@ -1,6 +1,7 @@
 #include "gentianlug/gateway/mesh_feed.h"
 
 #include <algorithm>
+#include <iterator>
 #include <unordered_map>
 
 namespace gentianlug::gateway {
@@ -18,7 +19,44 @@
          Left.Timeout == Right.Timeout &&
          Left.TargetLatency == Right.TargetLatency &&
          Left.Priority == Right.Priority &&
-         Left.MaxAttempts == Right.MaxAttempts;
+         Left.MaxAttempts == Right.MaxAttempts &&
+         Left.IsPublic == Right.IsPublic;
+}
+
+/// Adds the difference between the accounts of \p From and \p To to \p Change.
+static void addAccountChanges(config_change &Change,
+                              const mesh::account_list &From,
+                              const mesh::account_list &To) {
+  auto Old = From.begin();
+  for (const auto &Account : To) {
+    for (; Old != From.end() && (*Old)->Name < Account->Name; ++Old)
+      Change.RemovedAccounts.push_back((*Old)->Name);
+    bool Known = Old != From.end() && (*Old)->Name == Account->Name;
+    if (!Known || (*Old != Account && **Old != *Account))
+      Change.Accounts.push_back(Account);
+    if (Known)
+      ++Old;
+  }
+  for (; Old != From.end(); ++Old)
+    Change.RemovedAccounts.push_back((*Old)->Name);
+}
+
+/// Returns the accounts of \p From after \p Change.
+static mesh::account_list applyAccountChanges(const mesh::account_list &From,
+                                              const config_change &Change) {
+  mesh::account_list Kept;
+  for (const auto &Account : From)
+    if (!std::binary_search(Change.RemovedAccounts.begin(),
+                            Change.RemovedAccounts.end(), Account->Name))
+      Kept.push_back(Account);
+  auto ByName = [](const auto &Left, const auto &Right) {
+    return Left->Name < Right->Name;
+  };
+  // Of two accounts with the same name, the union keeps the one of the change.
+  mesh::account_list Next;
+  std::set_union(Change.Accounts.begin(), Change.Accounts.end(), Kept.begin(),
+                 Kept.end(), std::back_inserter(Next), ByName);
+  return Next;
 }
 
 config_change makeConfigChange(const mesh::mesh_configuration *From,
@@ -27,10 +65,13 @@
   Change.Version = To.Version;
   Change.Services = To.Services;
   Change.Limits = To.Limits;
+  Change.RequiresApiKeys = To.RequiresApiKeys;
   if (!From) {
     Change.Routes = To.Routes;
+    Change.Accounts = To.Accounts;
     return Change;
   }
+  addAccountChanges(Change, From->Accounts, To.Accounts);
   Change.BaseVersion = From->Version;
   std::unordered_map<route_name, const mesh::route *> OldRoutes;
   for (const mesh::route &Route : From->Routes)
@@ -55,6 +96,8 @@
   Next->Services = Change.Services;
   Next->Limits = Change.Limits;
   Next->Routes = Change.Routes;
+  Next->RequiresApiKeys = Change.RequiresApiKeys;
+  Next->Accounts = Change.Accounts;
   if (Change.BaseVersion == 0)
     return Next;
   if (!From || From->Version != Change.BaseVersion)
@@ -67,6 +110,7 @@
   for (const mesh::route &Route : From->Routes)
     if (!Replaced.contains(Route.Name))
       Next->Routes.push_back(Route);
+  Next->Accounts = applyAccountChanges(From->Accounts, Change);
   return Next;
 }
 
--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -6,6 +6,9 @@
 #include "gentianlug/mesh/relay_selection.h"
 #include "gentianlug/net/timer.h"
 
+#include <charconv>
+#include <cstdlib>
+
 namespace gentianlug::gateway {
 
 using observe::event;
@@ -26,6 +29,12 @@
 /// Shortest time for which a relay that has failed is avoided; up to twice as
 /// long, so that followers do not return at the same time.
 static constexpr std::chrono::milliseconds FailedRelayAvoidance{2000};
+/// Checks within the time in which a withdrawn key has to be rejected, so that
+/// most of this time is left to a node that loses its relay.
+static constexpr int ConfirmationsPerWithdrawalTime = 7;
+/// Largest offset that a relay may state.
+static constexpr std::chrono::milliseconds MaxConfirmationOffset =
+    std::chrono::hours(1);
 /// A substitute without polls of followers for this time follows its relay
 /// again.
 static constexpr std::chrono::milliseconds SubstituteIdleTime{2000};
@@ -62,6 +71,7 @@
   /// Neither the relay nor this node can reach the store.
   bool StoreUnreachable = false;
   std::optional<http1::client_pool::ticket> ActivePoll;
+  steady_time PollSentAt{};
   feed_cursor Cursor;
   node_id PolledRelay;
   /// The relay that last served this node.
@@ -140,7 +150,7 @@
   void stopServing() {
     updateHealthCheck();
     PollExpiryTimer.cancel();
-    FollowerPolls.rejectAll(poll_status::NotRelay);
+    FollowerPolls.respondToAll(poll_status::NotRelay);
     PollTimer.startOnce(drawJitter(Context.Gen, SearchStepDelay));
   }
 
@@ -162,8 +172,9 @@
       return Exchange->respond(
           http1::makeStatusResponse(poll_status::Unavailable));
     // A new relay holds the poll until it has read the whole store.
-    FollowerPolls.add(std::move(Exchange), *Since, canServe(),
-                      Context.Clock.steadyNow() + Times.LongPollTime);
+    steady_time Now = Context.Clock.steadyNow();
+    FollowerPolls.add(std::move(Exchange), *Since, canServe(), Now,
+                      Now + Times.LongPollTime);
   }
 
   void answerFollowerPolls() {
@@ -203,7 +214,7 @@
       return;
     if (Reached)
       return watchStore("substitutes for the relay");
-    FollowerPolls.rejectAll(poll_status::Unavailable);
+    FollowerPolls.respondToAll(poll_status::Unavailable);
     stopSubstituting();
   }
 
@@ -277,6 +288,7 @@
     Request.Target = IsSubstitute ? SubstituteFeedPath : FeedPath;
     Request.Headers.add("Host", Relay.NodeAddress.str());
     Request.Body = encodeCursor(Cursor);
+    PollSentAt = Context.Clock.steadyNow();
     ActivePoll = Pool.send(Relay.NodeAddress, std::move(Request),
                            {RelayConnectTimeout, RelayIdleTimeout, ""},
                            [this](http1::send_result Result) {
@@ -313,6 +325,7 @@
       return onRelayFailed("relay has lost the store", true);
     if (Status == poll_status::NoContent) {
       attachToRelay();
+      confirmConfiguration(Result.Response, Cursor.ConfigVersion);
       return poll();
     }
     if (Status != poll_status::Ok) {
@@ -329,9 +342,29 @@
     }
     attachToRelay();
     applyUpdate(*Update);
+    confirmConfiguration(Result.Response, Update->Cursor.ConfigVersion);
     poll();
   }
 
+  /// Passes on that the relay, which has \p Version, knew it to be the newest
+  /// configuration. The relay measures from the arrival of the poll, so from
+  /// the time at which it was sent the result is never too late.
+  void confirmConfiguration(const http1::response &Response,
+                            config_version Version) {
+    const std::string *Field = Response.Headers.find(ConfirmedHeader);
+    std::int64_t Millis = 0;
+    if (!Field || !Configuration || Configuration->Version < Version)
+      return;
+    const char *FieldEnd = Field->data() + Field->size();
+    auto [End, Failure] = std::from_chars(Field->data(), FieldEnd, Millis);
+    if (Failure != std::errc() || End != FieldEnd ||
+        std::abs(Millis) > MaxConfirmationOffset.count())
+      return;
+    Node.onConfigurationConfirmed(
+        std::min(PollSentAt + std::chrono::milliseconds(Millis),
+                 Context.Clock.steadyNow()));
+  }
+
   void onRelayFailed(const char *Reason, bool MayBeStale) {
     RelayFailures.avoid(PolledRelay,
                         Context.Clock.steadyNow() + FailedRelayAvoidance +
@@ -394,6 +427,7 @@
       return;
     Source = feed_source::Relay;
     StoreInSync.reset();
+    FollowerPolls.setConfirmedAt(std::nullopt);
     Store.setWatching(false);
     Node.onSyncState(true);
   }
@@ -513,6 +547,10 @@
 void feed_task::onBounds(const mesh::mesh_bounds &Bounds) {
   Impl->Times = mesh::relayTimingFor(Bounds.ConfigPropagationTime);
   Impl->updateHealthCheck();
+  std::optional<std::chrono::milliseconds> Period;
+  if (Bounds.KeyWithdrawalTime)
+    Period = *Bounds.KeyWithdrawalTime / ConfirmationsPerWithdrawalTime;
+  Impl->Store.setConfirmationPeriod(Period);
 }
 
 void feed_task::start() { Impl->Store.start(*this); }
@@ -558,9 +596,20 @@
   if (InSync)
     Impl->answerFollowerPolls();
   else
-    Impl->FollowerPolls.rejectAll(poll_status::Unavailable);
+    Impl->FollowerPolls.respondToAll(poll_status::Unavailable);
   if (Impl->Source == feed_source::Store)
     Impl->Node.onSyncState(InSync);
 }
 
+void feed_task::onConfigurationConfirmed(steady_time AsOf) {
+  if (Impl->Source != feed_source::Store)
+    return;
+  bool First = !Impl->FollowerPolls.isConfirmed();
+  Impl->FollowerPolls.setConfirmedAt(AsOf);
+  Impl->Node.onConfigurationConfirmed(AsOf);
+  // Followers accept no keys before they receive the first confirmation.
+  if (First && Impl->canServe())
+    Impl->FollowerPolls.respondToAll(poll_status::NoContent);
+}
+
 } // namespace gentianlug::gateway
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -89,6 +89,7 @@
     Entry.onLocalService(Settings.LocalService);
     Rollouts.onBounds(Settings.Bounds);
     Feed.onBounds(Settings.Bounds);
+    Entry.onBounds(Settings.Bounds);
     Rollouts.setQuarantineHandler([this] { updateAdmission(); });
     Serving.setEvidenceHandler(
         [this](const rollout::server_evidence &Evidence) {
@@ -458,6 +459,7 @@
   Impl->Settings.Bounds = Settings.Bounds;
   Impl->Rollouts.onBounds(Settings.Bounds);
   Impl->Feed.onBounds(Settings.Bounds);
+  Impl->Entry.onBounds(Settings.Bounds);
   Impl->Settings.ServerAddress = Settings.ServerAddress;
   Impl->Settings.LocalService = Settings.LocalService;
   if (!Settings.LocalService.empty())
@@ -538,4 +540,8 @@
   Impl->checkBaseVersion();
 }
 
+void gateway_node::onConfigurationConfirmed(steady_time AsOf) {
+  Impl->Entry.onConfigurationConfirmed(AsOf);
+}
+
 } // namespace gentianlug::gateway
--- a/libs/gateway/src/peer_call.cpp
+++ b/libs/gateway/src/peer_call.cpp
@@ -17,7 +17,7 @@
 // this format are percent-encoded.
 static constexpr const char *CallHeader = "gl-call";
 static constexpr const char *ServingHeader = "gl-serving";
-static constexpr std::size_t CallValueCount = 10;
+static constexpr std::size_t CallValueCount = 11;
 /// Largest time in a message, far above all timeouts of calls.
 static constexpr std::chrono::milliseconds MaxTime = std::chrono::hours(24);
 static constexpr std::size_t ServingValueCount = 6;
@@ -96,7 +96,8 @@
   Value.append(std::to_string(Call.QueuePriority)).append(";");
   Value.append(Call.Idempotent ? "1;" : "0;");
   Value.append(Call.IsRetry ? "1;" : "0;");
-  Value.append(Call.InheritedRetry ? "1" : "0");
+  Value.append(Call.InheritedRetry ? "1;" : "0;");
+  Value.append(percentEncode(Call.Account.str()));
   Request.Headers.add(CallHeader, std::move(Value));
 }
 
@@ -110,9 +111,10 @@
   Call.Route = route_name(percentDecode(Parts[1]));
   Call.CallerService = service_name(percentDecode(Parts[2]));
   Call.CallId = percentDecode(Parts[3]);
+  Call.Account = account_name(percentDecode(Parts[10]));
   // These names are logged and encoded in other messages.
-  for (const std::string &Name :
-       {Call.Instance, Call.Route.str(), Call.CallerService.str()})
+  for (const std::string &Name : {Call.Instance, Call.Route.str(),
+                                  Call.CallerService.str(), Call.Account.str()})
     if (!isValidUtf8(Name))
       return std::nullopt;
   if (!parse(Parts[4], Call.RemainingTime) ||
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -7,6 +7,8 @@
 #include "gentianlug/wire/rollout_values.h"
 #include "response_limits.h"
 
+#include <algorithm>
+#include <deque>
 #include <map>
 #include <unordered_map>
 
@@ -28,6 +30,9 @@
 /// Weight of a response in the moving average of response sizes.
 static constexpr double ResponseSizeWeight = 0.1;
 static constexpr std::size_t MaxTrackedRoutes = 10000;
+/// Time for which the server may go on with a call that has ended here.
+static constexpr std::chrono::milliseconds EndedCallMemory{5000};
+static constexpr std::size_t MaxEndedCalls = 2000;
 /// Shorter IDs of callers are not taken for the beginning of another ID.
 static constexpr std::size_t MinEnclosingIdLength = 8;
 
@@ -71,6 +76,13 @@
   std::function<void(std::shared_ptr<http1::exchange>)> FollowerPollHandler;
   std::function<void(const std::string &Instance)> LeavingHandler;
   std::function<void(const std::string &Instance)> DeniedHandler;
+  /// Calls that were sent to the server and have ended, oldest first.
+  struct ended_call {
+    std::string CallId;
+    steady_time EndedAt;
+  };
+  std::deque<ended_call> EndedCalls;
+  steady_time StartedAt;
   /// When the server last named a limit of calls per second.
   steady_time LimitNamedAt{};
 
@@ -82,7 +94,8 @@
       : Context(Context), Pacer(Pacer), Pool(Context.Loop, ResponseLimits, {}),
         AdmissionTimer(Context.Loop, [this] { advance(); }),
         ProbeTimer(Context.Loop, [this] { probe(); }),
-        ProbeTimeoutTimer(Context.Loop, [this] { onProbeTimeout(); }) {
+        ProbeTimeoutTimer(Context.Loop, [this] { onProbeTimeout(); }),
+        StartedAt(Context.Clock.steadyNow()) {
     Admission.setLinkBytesPerSecond(LinkBytesPerSecond);
   }
 
@@ -204,7 +217,8 @@
     Context.Dialect.writeServerCall(
         Request, {std::chrono::duration_cast<std::chrono::milliseconds>(
                       Call.Deadline - Now),
-                  Server->Admission.Instance, Call.Call.CallerService});
+                  Server->Admission.Instance, Call.Call.CallerService,
+                  Call.Call.Account});
     http1::send_options Options{ServerConnectTimeout,
                                 Call.Call.Idempotent ? IdempotentMaxIdle
                                                      : AtMostOnceMaxIdle,
@@ -223,11 +237,21 @@
              {serving_outcome::Refused, {}, mesh::describe(Reason), false, {}});
   }
 
+  void rememberEnded(const serving_call &Call) {
+    if (!Call.PoolTicket)
+      return;
+    EndedCalls.push_back({Call.Call.CallId, now()});
+    while (EndedCalls.size() > MaxEndedCalls ||
+           now() - EndedCalls.front().EndedAt > EndedCallMemory)
+      EndedCalls.pop_front();
+  }
+
   void complete(ticket Ticket, serving_result Result) {
     auto Found = Calls.find(Ticket);
     if (Found == Calls.end())
       return;
     auto Done = std::move(Found->second.Done);
+    rememberEnded(Found->second);
     Calls.erase(Found);
     Result.Report = Admission.report(now());
     Context.Loop.defer(
@@ -398,6 +422,7 @@
                                             {"reason", Reason}});
     if (Found->second.PoolTicket)
       Pool.cancel(*Found->second.PoolTicket);
+    rememberEnded(Found->second);
     Calls.erase(Found);
     Admission.removeQueued(Ticket);
     Admission.finish(Ticket, std::nullopt);
@@ -591,12 +616,29 @@
   return Evidence;
 }
 
+/// Returns whether the ID of a call begins with that of the call \p Enclosing.
+static bool isNestedId(const std::string &CallId,
+                       const std::string &Enclosing) {
+  return Enclosing.size() >= MinEnclosingIdLength &&
+         CallId.size() > Enclosing.size() && CallId.starts_with(Enclosing);
+}
+
+bool serving_task::mayBelongToEndedCall(const std::string &CallId) const {
+  steady_time Now = Impl->now();
+  if (Now - Impl->StartedAt < EndedCallMemory)
+    return true;
+  return std::any_of(Impl->EndedCalls.begin(), Impl->EndedCalls.end(),
+                     [&](const impl::ended_call &Ended) {
+                       return Now - Ended.EndedAt <= EndedCallMemory &&
+                              isNestedId(CallId, Ended.CallId);
+                     });
+}
+
 std::optional<enclosing_call>
 serving_task::findEnclosingCall(const std::string &CallId) const {
   for (const auto &[Ticket, Running] : Impl->Calls) {
     const std::string &Id = Running.Call.CallId;
-    if (Running.PoolTicket && Id.size() >= MinEnclosingIdLength &&
-        CallId.size() > Id.size() && CallId.starts_with(Id))
+    if (Running.PoolTicket && isNestedId(CallId, Id))
       return enclosing_call{Id, Running.Call.IsRetry ||
                                     Running.Call.InheritedRetry};
   }
--- a/libs/gateway/tests/feed_task_test.cpp
+++ b/libs/gateway/tests/feed_task_test.cpp
@@ -47,6 +47,8 @@
       Done(Reachable);
   }
   void setHealthCheck(const std::optional<store_health_check> &) override {}
+  void
+  setConfirmationPeriod(std::optional<std::chrono::milliseconds>) override {}
   void publishServer(const mesh::server_record &,
                      std::function<void()>) override {}
   bool hasPendingPublish() const override { return false; }
@@ -106,7 +108,11 @@
   void onRollouts(std::vector<mesh::rollout_record>) override {}
   void onZonesOutOfService(std::set<zone_name>) override {}
   void onSyncState(bool Next) override { InSync = Next; }
+  void onConfigurationConfirmed(steady_time AsOf) override {
+    ConfirmedAt = AsOf;
+  }
 
+  std::optional<steady_time> ConfirmedAt;
   config_version Version = 0;
   bool InSync = false;
 };
@@ -429,3 +435,35 @@
   runUntil(Loop, [&] { return Follower.Watcher.Version == 4; });
   CHECK(std::chrono::steady_clock::now() - Start < std::chrono::seconds(3));
 }
+
+// Guards against followers that reject all keys although their relay knows that
+// the configuration is the newest, and against a confirmation that counts from
+// its arrival instead of the time to which it refers.
+TEST(FeedTask, FollowersReceiveTheTimeOfTheLastConfirmation) {
+  Clock.stop();
+  feed_node &Relay = add("relay", 200);
+  feed_node &Follower = add("follower", 10);
+  startAll();
+  awaitVersion(2);
+  CHECK_FALSE(Follower.Watcher.ConfirmedAt.has_value());
+  Clock.advance(std::chrono::milliseconds(10000));
+  steady_time AsOf = Clock.steadyNow() - std::chrono::milliseconds(700);
+  Relay.Store.Watcher->onConfigurationConfirmed(AsOf);
+  Clock.advance(std::chrono::milliseconds(300));
+  Content.Version = 3;
+  deliverChanges();
+  runUntil(Loop, [&] { return Follower.Watcher.ConfirmedAt.has_value(); });
+  CHECK(*Follower.Watcher.ConfirmedAt <= AsOf);
+}
+
+// Guards against a relay that is behind: it confirms the configuration that it
+// knows, which a follower must not take for a confirmation of an older one.
+TEST(FeedTask, ConfirmationsOfNodesThatDoNotWatchAreIgnored) {
+  Clock.stop();
+  add("relay", 200);
+  feed_node &Follower = add("follower", 10);
+  startAll();
+  awaitVersion(2);
+  Follower.Store.Watcher->onConfigurationConfirmed(Clock.steadyNow());
+  CHECK_FALSE(Follower.Watcher.ConfirmedAt.has_value());
+}
--- a/libs/gateway/tests/gateway_node_test.cpp
+++ b/libs/gateway/tests/gateway_node_test.cpp
@@ -17,6 +17,8 @@
   void setWatching(bool) override {}
   void probe(std::function<void(bool)>) override {}
   void setHealthCheck(const std::optional<store_health_check> &) override {}
+  void
+  setConfirmationPeriod(std::optional<std::chrono::milliseconds>) override {}
   void publishServer(const mesh::server_record &Record,
                      std::function<void()>) override {
     Published.push_back(Record);
--- a/libs/gateway/tests/messages_test.cpp
+++ b/libs/gateway/tests/messages_test.cpp
@@ -23,6 +23,7 @@
   Call.QueuePriority = 3;
   Call.Idempotent = true;
   Call.InheritedRetry = true;
+  Call.Account = account_name("a%;b");
   return Call;
 }
 
@@ -63,8 +64,8 @@
 
 // Guards against callers that impersonate a node.
 TEST(PeerCall, RejectsMalformedHeaders) {
-  for (const char *Value :
-       {"", "a;b", "i;r;s;c;x;1;1;1;1;1", "i;r;s;c;1;1;1;1;1;1;1"}) {
+  for (const char *Value : {"", "a;b", "i;r;s;c;x;1;1;1;1;1;a",
+                            "i;r;s;c;1;1;1;1;1;1", "i;r;s;c;1;1;1;1;1;1;a;1"}) {
     http1::request Request;
     Request.Headers.add("gl-call", Value);
     CHECK_FALSE(extractPeerCall(Request).has_value());
@@ -80,8 +81,8 @@
 // rollout.
 TEST(PeerCall, RejectsNamesThatAreNoText) {
   for (const char *Value :
-       {"i;r%ff;s;c;1;1;1;1;1;1", "i%c0%80;r;s;c;1;1;1;1;1;1",
-        "i;r;%ed%a0%80;c;1;1;1;1;1;1"}) {
+       {"i;r%ff;s;c;1;1;1;1;1;1;a", "i%c0%80;r;s;c;1;1;1;1;1;1;a",
+        "i;r;%ed%a0%80;c;1;1;1;1;1;1;a", "i;r;s;c;1;1;1;1;1;1;a%ff"}) {
     http1::request Request;
     Request.Headers.add("gl-call", Value);
     CHECK_FALSE(extractPeerCall(Request).has_value());
@@ -90,8 +91,8 @@
 
 // Guards against times of a peer that overflow the clock.
 TEST(PeerCall, RejectsTimesOutOfRange) {
-  for (const char *Value : {"i;r;s;c;9223372036854775807;1;1;1;1;1",
-                            "i;r;s;c;1;-9223372036854775807;1;1;1;1"}) {
+  for (const char *Value : {"i;r;s;c;9223372036854775807;1;1;1;1;1;a",
+                            "i;r;s;c;1;-9223372036854775807;1;1;1;1;a"}) {
     http1::request Request;
     Request.Headers.add("gl-call", Value);
     CHECK_FALSE(extractPeerCall(Request).has_value());
@@ -155,6 +156,18 @@
     }
     return Next;
   }
+  static std::shared_ptr<const mesh::mesh_configuration> withAccounts(
+      config_version Version,
+      const std::map<std::string, std::string> &KeysByName) {
+    auto Next = std::make_shared<mesh::mesh_configuration>();
+    Next->Version = Version;
+    Next->RequiresApiKeys = true;
+    Next->Routes.emplace_back().IsPublic = true;
+    for (const auto &[Name, Key] : KeysByName)
+      Next->Accounts.push_back(std::make_shared<const mesh::client_account>(
+          mesh::client_account{account_name(Name), {Key}, 3}));
+    return Next;
+  }
   static mesh::server_record server(const std::string &Node,
                                     std::uint64_t Sequence = 1) {
     mesh::server_record Record;
@@ -192,6 +205,35 @@
   CHECK(applyConfigChange(Second.get(), *Update.Config) == nullptr);
 }
 
+// Guards against sending all keys for each change, and against a withdrawn key
+// or account that stays in the copy of a follower.
+TEST(Feed, SendsOnlyChangedAccounts) {
+  auto First = withAccounts(1, {{"a", "1"}, {"b", "2"}, {"d", "4"}});
+  auto Second = withAccounts(2, {{"a", "1"}, {"b", "5"}, {"c", "3"}});
+  State.setConfiguration(First);
+  State.setConfiguration(Second);
+  feed_cursor At;
+  At.ConfigVersion = 1;
+  auto Update = updateFor(At);
+  UNSIGNED_LONGS_EQUAL(2, Update.Config->Accounts.size());
+  UNSIGNED_LONGS_EQUAL(1, Update.Config->RemovedAccounts.size());
+  auto Next = applyConfigChange(First.get(), *Update.Config);
+  CHECK(Next->RequiresApiKeys);
+  UNSIGNED_LONGS_EQUAL(3, Next->Accounts.size());
+  POINTERS_EQUAL(First->Accounts[0].get(), Next->Accounts[0].get());
+  for (std::size_t Index = 0; Index < Next->Accounts.size(); ++Index)
+    CHECK(*Next->Accounts[Index] == *Second->Accounts[Index]);
+}
+
+TEST(Feed, SendsAllAccountsAndPublicRoutes) {
+  State.setConfiguration(withAccounts(1, {{"a", "1"}}));
+  auto Next = applyConfigChange(nullptr, *updateFor({}).Config);
+  CHECK(Next->RequiresApiKeys);
+  CHECK(Next->Routes.front().IsPublic);
+  STRCMP_EQUAL("1", Next->Accounts.front()->ApiKeys.front().c_str());
+  LONGS_EQUAL(3, *Next->Accounts.front()->Priority);
+}
+
 TEST(Feed, SendsAllRoutesIfFollowerIsTooFarBehind) {
   for (config_version Each = 1; Each < 40; ++Each)
     State.setConfiguration(version(Each, {"a"}));
--- a/libs/gateway/tests/rollout_task_test.cpp
+++ b/libs/gateway/tests/rollout_task_test.cpp
@@ -16,6 +16,8 @@
   void setWatching(bool) override {}
   void probe(std::function<void(bool)>) override {}
   void setHealthCheck(const std::optional<store_health_check> &) override {}
+  void
+  setConfirmationPeriod(std::optional<std::chrono::milliseconds>) override {}
   void publishServer(const mesh::server_record &,
                      std::function<void()>) override {}
   bool hasPendingPublish() const override { return false; }
--- a/libs/gateway/tests/task_fixture.h
+++ b/libs/gateway/tests/task_fixture.h
@@ -14,6 +14,7 @@
   call_parameters readCallParameters(const http1::request &) const override {
     return {};
   }
+  void removeAccountFields(http1::request &) const override {}
   void writeServerCall(http1::request &, const server_call &) const override {}
   response_class classifyResponse(const http1::response &) const override {
     return response_class::Final;
--- a/libs/mesh/include/gentianlug/mesh/model.h
+++ b/libs/mesh/include/gentianlug/mesh/model.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -43,6 +44,8 @@
   std::vector<weighted_service> Services;
   /// Maximum number of servers that one call may be sent to.
   std::uint32_t MaxAttempts = 1;
+  /// Calls need no API key.
+  bool IsPublic = false;
 };
 
 /// A service of the active configuration.
@@ -53,6 +56,19 @@
   double ColdCallsPerSecond = 0;
 };
 
+/// A client account and the API keys that identify its calls.
+struct client_account {
+  account_name Name;
+  std::vector<std::string> ApiKeys;
+  /// Replaces the priority of the route; 0 is the highest.
+  std::optional<std::uint32_t> Priority;
+
+  friend bool operator==(const client_account &,
+                         const client_account &) = default;
+};
+
+using account_list = std::vector<std::shared_ptr<const client_account>>;
+
 /// Limits for requests and connections of callers.
 struct caller_limits {
   std::size_t MaxHeaderBytes = 16384;
@@ -67,6 +83,12 @@
   std::vector<route> Routes;
   std::vector<service> Services;
   caller_limits Limits;
+  /// Whether calls need an API key of one of `Accounts`, except on public
+  /// routes.
+  bool RequiresApiKeys = false;
+  /// Sorted by name. Versions of the configuration share accounts that are
+  /// equal in both.
+  account_list Accounts;
 
   /// Returns the service, or null. Complexity: linear.
   const service *findService(const service_name &Name) const;
@@ -146,6 +168,9 @@
   std::chrono::milliseconds ShutdownGracePeriod{6000};
   /// Time within which an acknowledged configuration is active on all nodes.
   std::chrono::milliseconds ConfigPropagationTime{2000};
+  /// Time within which all nodes reject a withdrawn API key, also those that
+  /// receive no configuration; empty if that is not required.
+  std::optional<std::chrono::milliseconds> KeyWithdrawalTime;
 };
 
 } // namespace gentianlug::mesh
