Report the usage of client accounts once a window

Change: nodes count the calls that their servers begin, by account and window, relays collect the counts, and the holder of a lease in the store stores the counts of a window before it sends them, so that no holder sends other counts for it or acts beside its successor. store::lease_contender can renew at once.

--- a/libs/gateway/include/gentianlug/gateway/feed_task.h
+++ b/libs/gateway/include/gentianlug/gateway/feed_task.h
@@ -3,6 +3,7 @@
 
 #include "gentianlug/gateway/entry_task.h"
 #include "gentianlug/gateway/mesh_feed.h"
+#include "gentianlug/gateway/usage_task.h"
 #include "gentianlug/http1/server.h"
 
 namespace gentianlug::gateway {
@@ -30,6 +31,9 @@
   ~feed_task() override;
 
   void start();
+  /// Sets the handler for changes of the source from which this node receives
+  /// changes.
+  void setSourceHandler(std::function<void(const change_source &)> Handler);
   /// Derives all time-outs from the maximum propagation time in \p Bounds.
   void onBounds(const mesh::mesh_bounds &Bounds);
   /// Responds to a long poll of a follower, at the latest after the long-poll
--- a/libs/gateway/include/gentianlug/gateway/gateway_node.h
+++ b/libs/gateway/include/gentianlug/gateway/gateway_node.h
@@ -4,6 +4,7 @@
 #include "gentianlug/gateway/entry_task.h"
 #include "gentianlug/gateway/mesh_store.h"
 #include "gentianlug/gateway/rollout_task.h"
+#include "gentianlug/gateway/usage_interfaces.h"
 
 namespace gentianlug::gateway {
 
@@ -21,6 +22,14 @@
   /// Accepts calls of other nodes.
   address NodeListener;
   mesh::mesh_bounds Bounds;
+  /// Terms of the usage reports; empty if none are due.
+  std::optional<mesh::usage_terms> Usage;
+};
+
+/// What a node needs to report the usage of the client accounts.
+struct accounting_links {
+  usage_duty_store &Store;
+  accounting_service &Service;
 };
 
 /// Result of an announcement.
@@ -37,8 +46,10 @@
 /// owns its sockets and state.
 class gateway_node final : public mesh_watcher {
 public:
+  /// \param Accounting needed if \p Settings ask for usage reports.
   gateway_node(task_context Context, gateway_settings Settings,
-               mesh_store &Store);
+               mesh_store &Store,
+               const std::optional<accounting_links> &Accounting = {});
   ~gateway_node() override;
 
   /// Opens the listeners and starts reading the store.
--- a/libs/gateway/include/gentianlug/gateway/serving_task.h
+++ b/libs/gateway/include/gentianlug/gateway/serving_task.h
@@ -54,6 +54,18 @@
   void setFollowerPollHandler(
       std::function<void(std::shared_ptr<http1::exchange>)> Handler);
 
+  /// Sets the handler for messages with the usage counts of other nodes.
+  void setUsageHandler(std::function<void(http1::exchange &)> Handler);
+
+  /// Sets the handler for calls of client accounts.
+  ///
+  /// \param Handler called when a call is sent to the server, with no time, and
+  /// when the server has not run it, with the time at which it was sent.
+  void setAccountCallHandler(
+      std::function<void(const account_name &Account,
+                         std::optional<steady_time> NotRunSince)>
+          Handler);
+
   /// Sets the handler for a server that says in a response that it is leaving.
   void
   setLeavingHandler(std::function<void(const std::string &Instance)> Handler);
--- a/libs/gateway/src/entry_task.cpp
+++ b/libs/gateway/src/entry_task.cpp
@@ -22,6 +22,7 @@
   http1::link_pacer &Pacer;
   mesh::account_gate Accounts;
   bool ConfigurationCurrent = false;
+  bool RejectsKeys = false;
   bool RejectsNewCalls = false;
 
   impl(task_context Context, node_location Location, serving_task &Local,
@@ -65,6 +66,16 @@
                : mesh::call_origin::Client;
   }
 
+  /// Logs when this node starts or stops to reject all keys.
+  void logKeyRejections() {
+    bool Rejects = !Accounts.keysConfirmed(Entry.Context.Clock.steadyNow());
+    if (Rejects == std::exchange(RejectsKeys, Rejects))
+      return;
+    Entry.Context.Metrics.gauge("account_keys_rejected", Rejects ? 1 : 0);
+    Entry.Context.Log.write(
+        Rejects ? event::KeysUnconfirmed : event::KeysConfirmed, {});
+  }
+
   /// Checks the account of a call and removes what the caller says about it.
   /// Returns nothing if the call was rejected.
   std::optional<mesh::access_decision>
@@ -74,6 +85,7 @@
     if (!Accounts.requiresKeys())
       return mesh::access_decision{};
     Entry.Context.Dialect.removeAccountFields(Exchange.receivedRequest());
+    logKeyRejections();
     auto Decision = Accounts.checkAccess(Route, Parameters.ApiKey,
                                          originOf(Parameters, Enclosing),
                                          Entry.Context.Clock.steadyNow());
--- a/libs/gateway/src/feed_codec.cpp
+++ b/libs/gateway/src/feed_codec.cpp
@@ -1,9 +1,7 @@
 #include "gentianlug/core/error_table.h"
-#include "gentianlug/gateway/mesh_feed.h"
-#include "gentianlug/settings/json_file.h"
+#include "json_message.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace gentianlug::gateway {
 
@@ -275,25 +273,12 @@
   return Value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-/// Parses \p Text and runs \p Read on the value. Converts exceptions of the
-/// JSON library to errors.
-template <class T, class Reader>
-static result<T> decode(std::string_view Text, Reader Read) {
-  if (settings::exceedsNestingDepth(Text, settings::MaxNestingDepth))
-    return makeError(feed_errc::MalformedFeed, "nested too deep");
-  try {
-    return Read(json::parse(Text));
-  } catch (const json::exception &Failure) {
-    return makeError(feed_errc::MalformedFeed, Failure.what());
-  }
-}
-
 result<feed_cursor> decodeCursor(std::string_view Text) {
-  return decode<feed_cursor>(Text, decodeCursorValue);
+  return decodeMessage<feed_cursor>(Text, decodeCursorValue);
 }
 
 result<feed_update> decodeUpdate(std::string_view Text) {
-  return decode<feed_update>(Text, [](const json &Value) {
+  return decodeMessage<feed_update>(Text, [](const json &Value) {
     feed_update Update;
     Update.Cursor = decodeCursorValue(Value.at("cursor"));
     Update.FullServerList = Value.at("servers_whole");
--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -74,6 +74,7 @@
   steady_time PollSentAt{};
   feed_cursor Cursor;
   node_id PolledRelay;
+  address PolledAddress;
   /// The relay that last served this node.
   node_id AttachedRelay;
   std::shared_ptr<const mesh::mesh_configuration> Configuration;
@@ -81,6 +82,7 @@
   control_state ControlState;
   bool Probing = false;
   steady_time NextProbe{};
+  std::function<void(const change_source &)> SourceHandler;
   bool BaseVersionsKnown = false;
   bool RolloutsKnown = false;
   bool ZonesKnown = false;
@@ -94,6 +96,11 @@
         PollExpiryTimer(Context.Loop, [this] { expireFollowerPolls(); }),
         FollowerPolls(History) {}
 
+  void reportSource(const change_source &Next) {
+    if (SourceHandler)
+      SourceHandler(Next);
+  }
+
   bool isComplete() const {
     return Configuration && Servers && BaseVersionsKnown && RolloutsKnown &&
            ZonesKnown;
@@ -281,6 +288,7 @@
   void pollRelay(const mesh::server_record &Relay) {
     PollTimer.cancel();
     PolledRelay = Relay.Node;
+    PolledAddress = Relay.NodeAddress;
     Cursor.ConfigVersion = Configuration ? Configuration->Version : 0;
     bool IsSubstitute = relayCandidates().front().Node != Relay.Node;
     http1::request Request;
@@ -423,6 +431,7 @@
     RelayFailures.onServed(PolledRelay);
     if (std::exchange(AttachedRelay, PolledRelay) != PolledRelay)
       Context.Log.write(event::ParentAttached, {{"relay", PolledRelay.str()}});
+    reportSource({false, PolledAddress});
     if (Source == feed_source::Relay)
       return;
     Source = feed_source::Relay;
@@ -443,6 +452,7 @@
     if (Source != feed_source::Relay)
       return;
     Source = feed_source::Search;
+    reportSource({});
     Search = {Context.Clock.steadyNow(), false, false, false};
     Context.Log.write(event::ParentLost,
                       {{"relay", AttachedRelay.str()}, {"reason", Reason}});
@@ -458,6 +468,7 @@
       Context.Log.write(event::ParentLost,
                         {{"relay", AttachedRelay.str()}, {"reason", Reason}});
     Source = feed_source::Store;
+    reportSource({true, std::nullopt});
     AttachedRelay = {};
     StoreUnreachable = false;
     StoreInSync.reset();
@@ -553,6 +564,11 @@
   Impl->Store.setConfirmationPeriod(Period);
 }
 
+void feed_task::setSourceHandler(
+    std::function<void(const change_source &)> Handler) {
+  Impl->SourceHandler = std::move(Handler);
+}
+
 void feed_task::start() { Impl->Store.start(*this); }
 
 void feed_task::onFollowerPoll(std::shared_ptr<http1::exchange> Exchange) {
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -46,6 +46,7 @@
   entry_task Entry;
   rollout_task Rollouts;
   feed_task Feed;
+  std::unique_ptr<usage_task> Usage;
   mesh::server_lifecycle Lifecycle;
   mesh::version_policy Versions;
   std::shared_ptr<const mesh::mesh_configuration> Configuration;
@@ -74,7 +75,8 @@
   net::timer BaseVersionCheckTimer;
 
   impl(task_context Context, gateway_settings InitialSettings,
-       mesh_store &Store, mesh_watcher &Node)
+       mesh_store &Store, mesh_watcher &Node,
+       const std::optional<accounting_links> &Accounting)
       : Context(Context), Settings(std::move(InitialSettings)), Store(Store),
         Pacer(Context.Loop, linkBytesPerSecond(Settings.Location)),
         Serving(Context, linkBytesPerSecond(Settings.Location), Pacer),
@@ -110,6 +112,26 @@
         [this](std::shared_ptr<http1::exchange> Exchange) {
           Feed.onFollowerPoll(std::move(Exchange));
         });
+    if (Settings.Usage && Accounting)
+      addUsageTask(*Accounting);
+  }
+
+  void addUsageTask(const accounting_links &Accounting) {
+    Usage = std::make_unique<usage_task>(Context, Settings.Location.Node,
+                                         Settings.NodeListener, *Settings.Usage,
+                                         Accounting.Store, Accounting.Service);
+    Serving.setUsageHandler(
+        [this](http1::exchange &Exchange) { Usage->onUsage(Exchange); });
+    Serving.setAccountCallHandler(
+        [this](const account_name &Account,
+               std::optional<steady_time> NotRunSince) {
+          if (NotRunSince)
+            Usage->onCallNotRun(Account, *NotRunSince);
+          else
+            Usage->onCallStarted(Account);
+        });
+    Feed.setSourceHandler(
+        [this](const change_source &Source) { Usage->onChangeSource(Source); });
   }
 
   bool ready() const {
@@ -387,9 +409,10 @@
 };
 
 gateway_node::gateway_node(task_context Context, gateway_settings Settings,
-                           mesh_store &Store)
-    : Impl(std::make_shared<impl>(Context, std::move(Settings), Store, *this)) {
-}
+                           mesh_store &Store,
+                           const std::optional<accounting_links> &Accounting)
+    : Impl(std::make_shared<impl>(Context, std::move(Settings), Store, *this,
+                                  Accounting)) {}
 
 gateway_node::~gateway_node() = default;
 
@@ -399,6 +422,8 @@
   if (auto Opened = Impl->Serving.listen(Impl->Settings.NodeListener); !Opened)
     return Opened;
   Impl->FlushTimer.startEvery(LogFlushPeriod);
+  if (Impl->Usage)
+    Impl->Usage->start();
   Impl->Feed.start();
   return {};
 }
@@ -489,12 +514,17 @@
                             [&](const mesh::server_record &Record) {
                               return Impl->isOwnRecord(Record);
                             });
-  if (First && Found != Servers.end())
+  if (First && Found != Servers.end()) {
     Impl->Lifecycle.restoreRecord(*Found);
+    if (Impl->Usage)
+      Impl->Usage->onPredecessorFound();
+  }
   Impl->Servers = std::move(Servers);
   Impl->checkRecordIsStored();
   Impl->Entry.onServers(Impl->Servers);
   Impl->Rollouts.onServers(Impl->Servers);
+  if (Impl->Usage)
+    Impl->Usage->onServers(Impl->Servers);
   Impl->checkBaseVersion();
   Impl->reportUnreachableServices();
   if (const auto &Current = Impl->Lifecycle.current()) {
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -2,6 +2,7 @@
 
 #include "gentianlug/core/weak_callback.h"
 #include "gentianlug/gateway/feed_task.h"
+#include "gentianlug/gateway/usage_messages.h"
 #include "gentianlug/http1/client_pool.h"
 #include "gentianlug/net/timer.h"
 #include "gentianlug/wire/rollout_values.h"
@@ -74,6 +75,9 @@
   std::uint64_t EvidenceSequence = 0;
   std::function<void(const rollout::server_evidence &)> EvidenceHandler;
   std::function<void(std::shared_ptr<http1::exchange>)> FollowerPollHandler;
+  std::function<void(http1::exchange &)> UsageHandler;
+  std::function<void(const account_name &, std::optional<steady_time>)>
+      AccountCallHandler;
   std::function<void(const std::string &Instance)> LeavingHandler;
   std::function<void(const std::string &Instance)> DeniedHandler;
   /// Calls that were sent to the server and have ended, oldest first.
@@ -121,6 +125,8 @@
     if ((Target == FeedPath || Target == SubstituteFeedPath) &&
         FollowerPollHandler)
       return FollowerPollHandler(std::move(Exchange));
+    if (Target == UsagePath && UsageHandler)
+      return UsageHandler(*Exchange);
     auto Call = extractPeerCall(Exchange->receivedRequest());
     if (!Call) {
       Context.Log.write(event::BadRequest,
@@ -213,6 +219,7 @@
     serving_call &Call = Found->second;
     Call.StartedAt = Now;
     ++EvidenceStarts;
+    reportAccountCall(Call, std::nullopt);
     http1::request Request = std::move(Call.Request);
     Context.Dialect.writeServerCall(
         Request, {std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -230,6 +237,12 @@
                                 });
   }
 
+  void reportAccountCall(const serving_call &Call,
+                         std::optional<steady_time> NotRunSince) const {
+    if (AccountCallHandler && !Call.Call.Account.empty())
+      AccountCallHandler(Call.Call.Account, NotRunSince);
+  }
+
   void reject(ticket Ticket, mesh::rejection_reason Reason) {
     Context.Metrics.count(std::string("gate_refusals_total{reason=\"") +
                           mesh::describe(Reason) + "\"}");
@@ -266,6 +279,7 @@
     auto Time = std::chrono::duration_cast<std::chrono::milliseconds>(
         now() - Call.StartedAt);
     if (Result.Outcome == http1::send_outcome::NotSent) {
+      reportAccountCall(Call, Call.StartedAt);
       Admission.finish(Ticket, std::nullopt);
       suspendServer("no connection");
       return complete(
@@ -275,6 +289,8 @@
     if (Result.Outcome != http1::send_outcome::Responded)
       return onResponseLost(Ticket, Call, Result);
     response_class Class = Context.Dialect.classifyResponse(Result.Response);
+    if (Class == response_class::NotRun || Class == response_class::WrongServer)
+      reportAccountCall(Call, Call.StartedAt);
     if (Class == response_class::Final || Class == response_class::NotRun)
       onServerNotice(Context.Dialect.readServerNotice(Result.Response),
                      Call.Call.Instance, Call.StartedAt);
@@ -530,6 +546,17 @@
   Impl->EvidenceHandler = std::move(Handler);
 }
 
+void serving_task::setUsageHandler(
+    std::function<void(http1::exchange &)> Handler) {
+  Impl->UsageHandler = std::move(Handler);
+}
+
+void serving_task::setAccountCallHandler(
+    std::function<void(const account_name &, std::optional<steady_time>)>
+        Handler) {
+  Impl->AccountCallHandler = std::move(Handler);
+}
+
 void serving_task::setDeniedHandler(
     std::function<void(const std::string &Instance)> Handler) {
   Impl->DeniedHandler = std::move(Handler);
--- a/libs/gateway/tests/messages_test.cpp
+++ b/libs/gateway/tests/messages_test.cpp
@@ -1,6 +1,7 @@
 #include "gentianlug/gateway/event_log.h"
 #include "gentianlug/gateway/mesh_feed.h"
 #include "gentianlug/gateway/peer_call.h"
+#include "gentianlug/gateway/usage_messages.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -140,6 +141,28 @@
   }
 }
 
+TEST_GROUP(UsageMessages){};
+
+TEST(UsageMessages, RoundTrip) {
+  mesh::node_usage Usage;
+  Usage.Node = node_id("n");
+  Usage.Process = UINT64_MAX;
+  Usage.Window = 353445120;
+  Usage.Revision = 9;
+  Usage.IsFinal = true;
+  Usage.MayLackCalls = true;
+  Usage.Calls = {{account_name("a"), 412}, {account_name("ž"), 1}};
+  auto Read = decodeUsage(encodeUsage({Usage, Usage}));
+  CHECK(Read && *Read == std::vector<mesh::node_usage>({Usage, Usage}));
+}
+
+TEST(UsageMessages, RejectsMalformedMessages) {
+  for (const char *Text :
+       {"", "[1]", "[[\"n\"]]", "[[\"n\",1,2,3,true,false,{\"a\":\"x\"}]]",
+        "[[\"n\",1,2,3,true,false,7]]"})
+    CHECK_FALSE(bool(decodeUsage(Text)));
+}
+
 TEST_GROUP(Feed) {
   feed_state State{"epoch"};
 
--- a/libs/store/include/gentianlug/store/lease.h
+++ b/libs/store/include/gentianlug/store/lease.h
@@ -81,6 +81,10 @@
   /// A read or a write received no response; a write may have taken effect.
   void onNoResponse(steady_time Now);
 
+  /// Makes `next` renew the lease at once if this process holds it, for a
+  /// holder that stores more with its lease.
+  void requestRenewal() { RenewalRequested = true; }
+
   /// Makes `next` return a write that releases the lease if this process holds
   /// it. The contender does not acquire the lease again.
   void release();
@@ -116,6 +120,7 @@
   bool OperationInFlight = false;
   bool IsHolder = false;
   bool Releasing = false;
+  bool RenewalRequested = false;
   steady_time ObservedSince{};
   steady_time NextOperation{};
   steady_time HeldSince{};
--- a/libs/store/src/lease.cpp
+++ b/libs/store/src/lease.cpp
@@ -15,7 +15,8 @@
     return {lease_operation::Read, {}, 0};
   }
   if (IsHolder) {
-    if (!Releasing && Now - HeldSince < Times.RenewalPeriod)
+    if (!Releasing && !RenewalRequested &&
+        Now - HeldSince < Times.RenewalPeriod)
       return {};
     return write(Now, Gen, ObservedLease.Value.Epoch);
   }
@@ -39,6 +40,7 @@
   lease_value Value{Releasing ? node_id() : Self, ControlAddress, Epoch,
                     drawHexId(Gen)};
   OperationInFlight = true;
+  RenewalRequested = false;
   PendingWriteStart = Now;
   PendingWrite = Value;
   return {lease_operation::Write, Value, Exists ? ObservedLease.Revision : 0};
--- a/libs/store/tests/lease_test.cpp
+++ b/libs/store/tests/lease_test.cpp
@@ -127,3 +127,15 @@
   CHECK(holds(B));
   CHECK_EQUAL(2U, B.epoch());
 }
+
+// Guards against a holder that has to wait for the next renewal before it can
+// store what it decided.
+TEST(lease, RequestedRenewalIsWrittenAtOnce) {
+  lease_contender A = contender("a");
+  runFor(A, 1s);
+  CHECK(step(A) == lease_operation::Wait);
+  A.requestRenewal();
+  CHECK(step(A) == lease_operation::Write);
+  CHECK(step(A) == lease_operation::Wait);
+  CHECK_EQUAL(1U, A.epoch());
+}
