--- a/libs/gateway/src/usage_task.cpp
+++ b/libs/gateway/src/usage_task.cpp
@@ -18,27 +18,33 @@
 static constexpr std::chrono::milliseconds CollectorConnectTimeout{300};
 static constexpr std::chrono::milliseconds CollectorIdleTimeout{20000};
 static constexpr std::chrono::milliseconds CollectorTimeout{1500};
-/// Longest time that a report takes. It ends long before another process may
-/// take over the duty.
-static constexpr std::chrono::milliseconds MaxReportTime{1500};
+/// Time after a takeover in which the collectors learn of the new holder and
+/// send their counts again.
+static constexpr std::chrono::milliseconds HandoverTime{2500};
 static constexpr std::chrono::milliseconds ReportRetryDelay{500};
 static constexpr int Ok = 200;
 static constexpr int BadRequest = 400;
 /// The node collects no counts.
 static constexpr int Gone = 410;
 
-/// Returns the times of the lease. A holder stops acting a full lease time
-/// before another process may take over, and no two takeovers follow each other
-/// within the lease time.
+/// Returns the times of the lease. A holder may begin a report for half of the
+/// lease time after a renewal, and another process takes over after the whole
+/// of it. So two holders cannot alternate within the lease time.
 static store::lease_times leaseTimesFor(const mesh::usage_terms &Terms) {
   store::lease_times Times;
-  Times.Expiry = 2 * Terms.LeaseTime;
-  Times.HoldingTime = Terms.LeaseTime;
-  Times.RenewalPeriod = Terms.LeaseTime * 2 / 3;
-  Times.ReadPeriod = Terms.LeaseTime;
+  Times.Expiry = Terms.LeaseTime;
+  Times.HoldingTime = Terms.LeaseTime / 2;
+  Times.RenewalPeriod = Terms.LeaseTime / 3;
+  Times.ReadPeriod = Terms.LeaseTime / 3;
   return Times;
 }
 
+/// Returns the longest time that a report takes. It ends before another process
+/// takes over the duty.
+static std::chrono::milliseconds maxReportTime(const mesh::usage_terms &Terms) {
+  return Terms.LeaseTime / 3;
+}
+
 struct usage_task::impl : std::enable_shared_from_this<usage_task::impl> {
   task_context Context;
   node_id Node;
@@ -67,6 +73,8 @@
   bool ReportInFlight = false;
   steady_time NextReport{};
   bool WasHolder = false;
+  /// Start of the time for which this node has held the duty.
+  steady_time HeldSince{};
 
   impl(task_context Context, node_id NodeName, address NodeAddress,
        const mesh::usage_terms &Terms, usage_duty_store &Store,
@@ -84,10 +92,8 @@
   }
 
   /// Returns whether this node contends for the duty. A holder that no longer
-  /// watches the store keeps the duty.
-  bool contends() const {
-    return Source.WatchesStore || Lease.isLastKnownHolder();
-  }
+  /// watches the store keeps the duty as long as it can renew its lease.
+  bool contends() const { return Source.WatchesStore || Lease.holds(now()); }
 
   void step() {
     for (const mesh::node_usage &Usage : Counter.takeChanges(wallNow()))
@@ -224,6 +230,7 @@
     bool Holds = Lease.holds(now());
     if (Holds == std::exchange(WasHolder, Holds))
       return;
+    HeldSince = now();
     Context.Metrics.gauge("usage_duty_holder", Holds ? 1 : 0);
     Context.Log.write(Holds ? event::UsageDutyGained : event::UsageDutyLost,
                       {{"fencing_token", std::int64_t(Lease.epoch())}});
@@ -234,8 +241,10 @@
   void stepDuty() {
     if (!Lease.holds(now()) || Decision || ReportInFlight)
       return;
-    mesh::usage_action Action = mesh::nextUsageStep(
-        Progress, Collector, ServingNodes, Terms, wallNow());
+    bool CountsMayBeOnTheWay = now() - HeldSince < HandoverTime;
+    mesh::usage_action Action =
+        mesh::nextUsageStep(Progress, Collector, ServingNodes, Terms, wallNow(),
+                            CountsMayBeOnTheWay);
     switch (Action.Step) {
     case mesh::usage_step::Wait:
       return;
@@ -268,7 +277,7 @@
     usage_report Report{Node, Lease.epoch(), Progress.DecidedWindow,
                         *Progress.Calls};
     Accounting.report(
-        Report, MaxReportTime,
+        Report, maxReportTime(Terms),
         bindWeakly(shared_from_this(),
                    [Window = Report.Window](impl &Self, bool Accepted) {
                      Self.onReported(Window, Accepted);
--- a/libs/mesh/include/gentianlug/mesh/usage_collector.h
+++ b/libs/mesh/include/gentianlug/mesh/usage_collector.h
@@ -3,6 +3,7 @@
 
 #include "gentianlug/mesh/usage.h"
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -40,6 +41,9 @@
   /// Another node is the next collector: it has received nothing.
   void resetAcknowledged();
 
+  /// Returns the oldest window with counts, if any.
+  std::optional<usage_window> oldestWindow() const;
+
   usage_total total(usage_window Window,
                     const std::set<node_id> &Expected) const;
 
--- a/libs/mesh/src/usage_collector.cpp
+++ b/libs/mesh/src/usage_collector.cpp
@@ -58,6 +58,12 @@
       Entry.AcknowledgedRevision = 0;
 }
 
+std::optional<usage_window> usage_collector::oldestWindow() const {
+  if (Windows.empty())
+    return std::nullopt;
+  return Windows.begin()->first;
+}
+
 usage_total usage_collector::total(usage_window Window,
                                    const std::set<node_id> &Expected) const {
   usage_total Total;
--- a/libs/mesh/src/usage_duty.cpp
+++ b/libs/mesh/src/usage_duty.cpp
@@ -10,10 +10,12 @@
 usage_action nextUsageStep(const usage_progress &Stored,
                            const usage_collector &Collected,
                            const std::set<node_id> &Expected,
-                           const usage_terms &Terms, wall_time Now) {
+                           const usage_terms &Terms, wall_time Now,
+                           bool CountsMayBeOnTheWay) {
   usage_window Current = Terms.windowAt(Now);
   if (Stored.DecidedWindow == 0)
-    return {usage_step::Decide, skippedTo(Current - 1), 0, 0};
+    return {usage_step::Decide,
+            skippedTo(Collected.oldestWindow().value_or(Current) - 1), 0, 0};
   usage_window OldestKept = Current - KeptUsageWindows + 1;
   bool Pending = !Stored.IsAccepted && Stored.Calls;
   if (Pending && Stored.DecidedWindow >= OldestKept)
@@ -26,7 +28,8 @@
   if (Now < End)
     return {};
   usage_total Total = Collected.total(Window, Expected);
-  if (Total.MissingNodes > 0 && Now < End + Terms.ReportDeadline / 2)
+  if (Total.MissingNodes > 0 &&
+      (CountsMayBeOnTheWay || Now < End + Terms.ReportDeadline / 2))
     return {};
   if (Total.UncertainNodes * 2 > Expected.size())
     return {usage_step::Decide, skippedTo(Window), 1, Total.UncertainNodes};
--- a/libs/mesh/tests/usage_test.cpp
+++ b/libs/mesh/tests/usage_test.cpp
@@ -148,6 +148,19 @@
   CHECK_EQUAL(1, Action.UncertainNodes);
 }
 
+// Guards against a new holder that leaves out a window before the other nodes
+// have sent it their counts.
+TEST(UsageDuty, NewHolderWaitsForTheCountsOfOthers) {
+  add(usage("n1", 1));
+  auto NextOfNewHolder = [&] {
+    return nextUsageStep(Progress, Collector, Expected, Terms, at(11s), true);
+  };
+  CHECK(NextOfNewHolder().Step == usage_step::Wait);
+  add(usage("n2", 2));
+  add(usage("n3", 4));
+  CHECK(NextOfNewHolder().Next.Calls == (account_counts{{A, 7}}));
+}
+
 // Guards against a successor that counts a window anew: the stored counts are
 // sent, whatever has arrived since.
 TEST(UsageDuty, SuccessorRepeatsTheStoredReport) {
@@ -179,7 +192,16 @@
   CHECK_EQUAL(2, Action.SkippedWindows);
 }
 
-TEST(UsageDuty, FirstHolderStartsWithTheCurrentWindow) {
+// Guards against calls that are never reported because they began before there
+// was a holder.
+TEST(UsageDuty, FirstHolderStartsWithTheOldestCounts) {
+  Progress = {};
+  add(usage("n1", 1));
+  CHECK_EQUAL(999, next(3s).Next.DecidedWindow);
+  CHECK_EQUAL(999, next(12s).Next.DecidedWindow);
+}
+
+TEST(UsageDuty, FirstHolderWithoutCountsStartsWithTheCurrentWindow) {
   Progress = {};
   usage_action Action = next(0ms);
   CHECK(Action.Step == usage_step::Decide);
