Share servers fairly between client accounts

Cause: the queue of a server served calls of a priority in the order of their arrival, so one large account could push all others out. Change: a free slot goes to the account that has been served least (admission::fair_scheduler), and a full queue displaces a call of the account with the most queued calls. Without accounts the order is as before.

--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -187,6 +187,7 @@
         {.Id = Ticket,
          .Instance = Call.Instance,
          .QueuePriority = Call.QueuePriority,
+         .Account = Call.Account,
          .Deadline = Deadline,
          .MaxQueueTime = Call.MaxQueueTime,
          .IsRetry = Call.IsRetry,
--- a/libs/mesh/include/gentianlug/mesh/server_admission.h
+++ b/libs/mesh/include/gentianlug/mesh/server_admission.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLUG_MESH_SERVER_ADMISSION_H
 #define GENTIANLUG_MESH_SERVER_ADMISSION_H
 
+#include "gentianlug/admission/fair_scheduler.h"
 #include "gentianlug/core/clock.h"
 #include "gentianlug/mesh/call_rate_limit.h"
 #include "gentianlug/mesh/load_report.h"
@@ -58,6 +59,8 @@
   std::string Instance;
   /// 0 is the highest, see `NestedCallPriority`.
   std::uint32_t QueuePriority = 0;
+  /// Client account that makes the call; empty if there is none.
+  account_name Account;
   steady_time Deadline{};
   /// Longest time that the call may wait in the queue.
   std::chrono::milliseconds MaxQueueTime{0};
@@ -91,6 +94,12 @@
 /// All calls to the server pass through this class, so its counts are exact.
 /// The other functions record events; `advance` returns the decisions that
 /// follow from them. The length of the queue is limited by the slots.
+///
+/// Calls of the same priority share the server fairly between their client
+/// accounts: a free slot goes to the account that has been served least, and a
+/// call that finds the queue full displaces one of the account with the most
+/// queued calls. So an account that sends more than its share delays only
+/// itself.
 class server_admission {
 public:
   server_admission() = default;
@@ -144,6 +153,13 @@
   std::uint32_t startsInWindow(steady_time Now);
   std::uint32_t coldLimit() const;
   bool hasCapacity(steady_time Now);
+  /// Returns the queued call that starts next: of those with the highest
+  /// priority, the first one of the account that has been served least.
+  /// Complexity: linear in the queue.
+  std::vector<queued_call>::iterator nextQueued();
+  /// Rejects a call if the queue is too long: of those with the lowest
+  /// priority, the last one of the account with the most queued calls.
+  void limitQueueLength();
   /// Rejects the last call of the queue if the rate limit makes it wait for too
   /// long.
   void limitQueuedTime(steady_time Now);
@@ -158,7 +174,9 @@
   steady_time ColdUntil{};
   retry_budget RetryBudget;
   call_rate_limit RateLimit;
+  /// Sorted by priority, then by arrival.
   std::vector<queued_call> Queue;
+  admission::fair_scheduler Fairness;
   /// Expected response size of each running call, in bytes.
   std::unordered_map<local_call_id, std::size_t> Running;
   double LinkBytesPerSecond = 0;
--- a/libs/mesh/src/server_admission.cpp
+++ b/libs/mesh/src/server_admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace gentianlug::mesh {
 
@@ -118,7 +119,48 @@
       std::llround(Bytes / LinkBytesPerSecond * MillisPerSecond));
 }
 
+/// Returns the key of the account of \p Call for the fair scheduler.
+static customer_name fairnessKey(const incoming_call &Call) {
+  return customer_name(Call.Account.str());
+}
+
+std::vector<server_admission::queued_call>::iterator
+server_admission::nextQueued() {
+  auto Next = Queue.begin();
+  double NextStart = Fairness.virtualStartTime(fairnessKey(Next->Call));
+  std::uint32_t Priority = Next->Call.QueuePriority;
+  for (auto Each = std::next(Next);
+       Each != Queue.end() && Each->Call.QueuePriority == Priority; ++Each) {
+    double Start = Fairness.virtualStartTime(fairnessKey(Each->Call));
+    if (Start >= NextStart)
+      continue;
+    Next = Each;
+    NextStart = Start;
+  }
+  return Next;
+}
+
+void server_admission::limitQueueLength() {
+  if (Queue.size() <= std::size_t(Server->Slots) * MaxQueuedPerSlot)
+    return;
+  std::uint32_t Priority = Queue.back().Call.QueuePriority;
+  auto Lowest = std::find_if(Queue.begin(), Queue.end(), [&](const auto &Each) {
+    return Each.Call.QueuePriority == Priority;
+  });
+  std::map<account_name, std::size_t> Queued;
+  for (auto Each = Lowest; Each != Queue.end(); ++Each)
+    ++Queued[Each->Call.Account];
+  // On a tie the call that has arrived last is displaced.
+  auto Displaced = std::prev(Queue.end());
+  for (auto Each = Displaced; Each != Lowest;)
+    if (--Each; Queued[Each->Call.Account] > Queued[Displaced->Call.Account])
+      Displaced = Each;
+  reject(Displaced->Call.Id, rejection_reason::Overloaded);
+  Queue.erase(Displaced);
+}
+
 void server_admission::start(const incoming_call &Call, steady_time Now) {
+  Fairness.charge(fairnessKey(Call));
   Running.emplace(Call.Id, Call.ExpectedResponseBytes);
   RecentStarts.push_back(Now);
   RateLimit.onStart(Now);
@@ -148,10 +190,7 @@
   queued_call Next{Call, std::min(Now + Call.MaxQueueTime, Call.Deadline)};
   Queue.insert(std::upper_bound(Queue.begin(), Queue.end(), Next, ByPriority),
                Next);
-  if (Queue.size() > std::size_t(Server->Slots) * MaxQueuedPerSlot) {
-    reject(Queue.back().Call.Id, rejection_reason::Overloaded);
-    Queue.pop_back();
-  }
+  limitQueueLength();
   limitQueuedTime(Now);
 }
 
@@ -180,20 +219,20 @@
 }
 
 std::vector<admission_decision> server_admission::advance(steady_time Now) {
-  std::vector<queued_call> Kept;
-  for (queued_call &Each : Queue) {
-    if (auto Reason = findRejection(Each.Call, Now))
+  std::erase_if(Queue, [&](const queued_call &Each) {
+    auto Reason = findRejection(Each.Call, Now);
+    if (!Reason && Now >= Each.ExpiresAt)
+      Reason = RateLimit.mayStart(Now) ? rejection_reason::Overloaded
+                                       : rejection_reason::RateLimited;
+    if (Reason)
       reject(Each.Call.Id, *Reason);
-    else if (Now >= Each.ExpiresAt)
-      reject(Each.Call.Id, RateLimit.mayStart(Now)
-                               ? rejection_reason::Overloaded
-                               : rejection_reason::RateLimited);
-    else if (hasCapacity(Now))
-      start(Each.Call, Now);
-    else
-      Kept.push_back(std::move(Each));
+    return Reason.has_value();
+  });
+  while (!Queue.empty() && hasCapacity(Now)) {
+    auto Next = nextQueued();
+    start(Next->Call, Now);
+    Queue.erase(Next);
   }
-  Queue = std::move(Kept);
   return std::exchange(Decisions, {});
 }
 
--- a/libs/mesh/tests/server_admission_test.cpp
+++ b/libs/mesh/tests/server_admission_test.cpp
@@ -303,3 +303,44 @@
   Admission.setRateLimit(10, Now);
   LONGS_EQUAL(2, Admission.report(Now).ConcurrencyLimit);
 }
+
+// Guards against small accounts that wait behind all calls of a large one: the
+// next slot goes to the account that has been served least.
+TEST(ServerAdmission, SlotsAreSharedBetweenAccounts) {
+  auto From = [&](const char *Account) {
+    incoming_call Call = call();
+    Call.Account = account_name(Account);
+    return Call;
+  };
+  for (int Count = 0; Count < 5; ++Count)
+    submit(From("large"));
+  submit(From("small"));
+  STRCMP_EQUAL("+1 +2", advance().c_str());
+  Admission.finish(1, 10ms);
+  STRCMP_EQUAL("+6", advance().c_str());
+  Admission.finish(2, 10ms);
+  STRCMP_EQUAL("+3", advance().c_str());
+}
+
+// Guards against an account that fills the queue, so that the calls of all
+// others are rejected.
+TEST(ServerAdmission, FullQueueDisplacesTheAccountWithTheMostCalls) {
+  for (int Count = 0; Count < 7; ++Count) {
+    incoming_call Call = call();
+    Call.Account = account_name(Count == 6 ? "small" : "large");
+    submit(Call);
+  }
+  STRCMP_EQUAL("+1 +2 -6:busy", advance().c_str());
+}
+
+// Guards against accounts that push a call of a higher priority aside.
+TEST(ServerAdmission, PriorityGoesBeforeAccounts) {
+  for (int Count = 0; Count < 4; ++Count) {
+    incoming_call Call = call(Count == 3 ? 2 : 1);
+    Call.Account = account_name(Count == 3 ? "small" : "large");
+    submit(Call);
+  }
+  STRCMP_EQUAL("+1 +2", advance().c_str());
+  Admission.finish(1, 10ms);
+  STRCMP_EQUAL("+3", advance().c_str());
+}
