--- a/standins/node_mesh.cpp
+++ b/standins/node_mesh.cpp
@@ -71,11 +71,34 @@
          {"maxAttempts", 2}});
   char Text[16];
   std::snprintf(Text, sizeof Text, "%08x", unsigned(Version));
-  Store.put("config", "main",
-            {{"version", Text},
-             {"routes", Routes},
-             {"services", json::array({{{"name", "orders"},
-                                        {"healthPath", "/healthz"}}})}});
+  json Configuration = {
+      {"version", Text},
+      {"routes", Routes},
+      {"services",
+       json::array({{{"name", "orders"}, {"healthPath", "/healthz"}}})}};
+  for (const auto &[Name, Key] : KeysByAccount)
+    Configuration["tenants"].push_back(
+        {{"name", Name}, {"apiKeys", json::array({Key})}});
+  Store.put("config", "main", std::move(Configuration));
+}
+
+void node_mesh::startAccounting() {
+  Accounting = std::make_unique<http1::server>(
+      Loop, http1::server_limits{},
+      [this](std::shared_ptr<http1::exchange> Exchange) {
+        const http1::request &Request = Exchange->receivedRequest();
+        json Body = json::parse(Request.Body);
+        usage_report Report;
+        Report.Window = Body["windowNumber"];
+        Report.FencingToken =
+            std::stoull(*Request.Headers.find("Fencing-Token"));
+        Report.Calls = Body["counts"].get<std::map<std::string, int>>();
+        UsageReports.push_back(std::move(Report));
+        if (!AccountingIsSilent)
+          Exchange->respond(http1::makeStatusResponse(200));
+      });
+  if (auto Listening = Accounting->listen(AccountingAddress, {}); !Listening)
+    std::abort();
 }
 
 machine &node_mesh::addMachine(const std::string &Name, const std::string &Zone,
@@ -135,6 +158,13 @@
       {"platform",
        {{"platform", {{"address", Machine.NodeStoreAddress.str()}}}}},
       {"terms", {{"bounds", {{"graceS", 6}}}}}};
+  Settings["terms"]["bounds"].update(Bounds);
+  if (Accounting) {
+    Settings["platform"]["cloud"] = {{"address", AccountingAddress.str()},
+                                     {"duties", {"usage_report"}}};
+    Settings["terms"]["bounds"]["reportWindowS"] = 1;
+    Settings["terms"]["bounds"]["leaseS"] = 1;
+  }
   char Name[] = "/tmp/gentianlug-node-XXXXXX";
   close(mkstemp(Name));
   Machine.SettingsFile = Name;
@@ -215,6 +245,11 @@
   if (const std::string *Caller =
           Exchange->receivedRequest().Headers.find("caller-service"))
     CallerServices.insert(*Caller);
+  if (const std::string *Account =
+          Exchange->receivedRequest().Headers.find("tenant-id"))
+    ++CallsByAccount[*Account];
+  if (Exchange->receivedRequest().Headers.find("authorization"))
+    ++CallsWithCredentials;
   if (Machine.HoldCalls) {
     Machine.HeldCalls.push_back(std::move(Exchange));
     return;
@@ -300,6 +335,8 @@
   Request.Headers.add("Host", "h.example");
   Request.Headers.add("Request-Id", Id);
   Request.Headers.add("Deadline-Ms", "2000");
+  if (!CallerKey.empty())
+    Request.Headers.add("Authorization", "Bearer " + CallerKey);
   ++CallsInFlight;
   // The idle limit of 500 ms makes the caller reuse a connection only while the
   // node certainly keeps it open.
--- a/standins/node_mesh.h
+++ b/standins/node_mesh.h
@@ -120,6 +120,10 @@
       machine &Target, const std::string &Method, const std::string &Path,
       std::function<void(const std::string &Id, const http1::response &)> Done);
 
+  /// Starts a stand-in for the accounting service. Nodes added later report
+  /// the usage of windows of one second to it.
+  void startAccounting();
+
   /// Returns the number of calls that have not completed.
   std::size_t callsInFlight() const { return CallsInFlight; }
 
@@ -131,6 +135,26 @@
   std::set<std::string> CallerServices;
   /// Number of malformed requests received by servers.
   int MalformedRequests = 0;
+  /// API keys of the client accounts by name, for configurations stored later;
+  /// empty without accounts.
+  std::map<std::string, std::string> KeysByAccount;
+  /// API key that callers send; "" for none.
+  std::string CallerKey;
+  /// Bounds in the settings of nodes added later, besides the usual ones.
+  nlohmann::json Bounds = nlohmann::json::object();
+  /// Accounts named in the calls that servers have received.
+  std::map<std::string, int> CallsByAccount;
+  /// Calls with credentials that servers have received.
+  int CallsWithCredentials = 0;
+  /// A report of usage, as the accounting service received it.
+  struct usage_report {
+    std::int64_t Window = 0;
+    std::uint64_t FencingToken = 0;
+    std::map<std::string, int> Calls;
+  };
+  std::vector<usage_report> UsageReports;
+  /// The accounting service reads reports but does not answer.
+  bool AccountingIsSilent = false;
 
 private:
   std::unique_ptr<standins::fault_proxy> startProxy(const address &Listen,
@@ -144,6 +168,8 @@
   std::string Program;
   std::string LogDirectory;
   address StoreAddress = nextAddress();
+  address AccountingAddress = nextAddress();
+  std::unique_ptr<http1::server> Accounting;
   bool FaultProxiesEnabled = false;
   http1::client_pool Client;
   net::timer AnnounceTimer;
