--- a/fuzz/adapter_fuzz.cpp
+++ b/fuzz/adapter_fuzz.cpp
@@ -1,6 +1,7 @@
 #include "codecs.h"
 #include "field_reader.h"
 #include "settings.h"
+#include "usage_duty_client.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -57,6 +58,18 @@
     (void)adapter::encodeRolloutStatus(*Rollout).dump();
 }
 
+/// Checks that the object of the usage duty is unchanged by encoding and
+/// decoding, since the next holder continues with what it decodes.
+static void checkUsageDuty(const nlohmann::json &Value) {
+  auto Duty = adapter::decodeUsageDuty(Value);
+  if (!Duty)
+    return;
+  auto Redecoded = adapter::decodeUsageDuty(adapter::encodeUsageDuty(*Duty));
+  if (!Redecoded || Redecoded->Lease != Duty->Lease ||
+      Redecoded->Progress != Duty->Progress)
+    std::abort();
+}
+
 /// Feeds the input to each decoder for values from the platform or a server.
 // libFuzzer requires this name.
 // NOLINTNEXTLINE(readability-identifier-naming)
@@ -68,6 +81,7 @@
   decodeStoreResponse(Text);
   nlohmann::json Value = adapter::parseJson(Text);
   (void)adapter::decodeConfiguration(Value);
+  checkUsageDuty(Value);
   adapter::stored_object Synthetic;
   Synthetic.Name = "node";
   Synthetic.Spec = Value;
--- a/fuzz/feed_fuzz.cpp
+++ b/fuzz/feed_fuzz.cpp
@@ -1,4 +1,5 @@
 #include "gentianlug/gateway/mesh_feed.h"
+#include "gentianlug/gateway/usage_messages.h"
 
 #include <cstdlib>
 
--- a/libs/gateway/tests/usage_task_test.cpp
+++ b/libs/gateway/tests/usage_task_test.cpp
@@ -119,7 +119,7 @@
     Second.reset();
   }
   /// Runs only \p Node; the other one stands still.
-  void run(usage_node & Node, std::function<bool()> Done) {
+  void runNode(usage_node & Node, std::function<bool()> Done) {
     runUntil(Node.Environment.Loop, std::move(Done));
   }
   std::uint64_t reportedCalls() const {
@@ -133,10 +133,10 @@
 
 TEST(UsageTask, ReportsEachWindowOnce) {
   First->watchStore();
-  run(*First, [&] { return !Reports.empty(); });
+  runNode(*First, [&] { return !Reports.empty(); });
   First->Task.onCallStarted(Account);
   First->Task.onCallStarted(Account);
-  run(*First, [&] { return reportedCalls() == 2; });
+  runNode(*First, [&] { return reportedCalls() == 2; });
   for (std::size_t Index = 1; Index < Reports.size(); ++Index)
     LONGS_EQUAL(Reports[Index - 1].Window + 1, Reports[Index].Window);
   LONGS_EQUAL(1, Reports.back().FencingToken);
@@ -145,11 +145,11 @@
 // Guards against reports that lack the calls at nodes without the duty.
 TEST(UsageTask, FollowersSendTheirCountsToTheirRelay) {
   First->watchStore();
-  run(*First, [&] { return Duty.Revision > 0; });
+  runNode(*First, [&] { return Duty.Revision > 0; });
   Second->Task.onCallStarted(Account);
   Second->Task.onChangeSource({false, First->Address});
   // Both nodes run: each step of the first one lets the second one run too.
-  run(*First, [&] {
+  runNode(*First, [&] {
     net::timer Stop(Second->Environment.Loop,
                     [&] { Second->Environment.Loop.stop(); });
     Stop.startOnce(1ms);
@@ -163,11 +163,11 @@
 TEST(UsageTask, RepeatsAReportUnchangedAfterALostAnswer) {
   First->watchStore();
   First->Accounting.Accepts = false;
-  run(*First, [&] { return Reports.size() == 1; });
+  runNode(*First, [&] { return Reports.size() == 1; });
   First->Task.onCallStarted(Account);
-  run(*First, [&] { return Reports.size() == 3; });
+  runNode(*First, [&] { return Reports.size() == 3; });
   First->Accounting.Accepts = true;
-  run(*First, [&] { return reportedCalls() == 1; });
+  runNode(*First, [&] { return reportedCalls() == 1; });
   for (const usage_report &Report : Reports)
     for (const usage_report &Other : Reports)
       if (Report.Window == Other.Window)
@@ -178,20 +178,20 @@
 // node has taken over the duty.
 TEST(UsageTask, SuspendedHolderSendsNothingAfterItsSuccessor) {
   First->watchStore();
-  run(*First, [&] { return Reports.size() == 2; });
+  runNode(*First, [&] { return Reports.size() == 2; });
   Second->watchStore();
-  run(*Second, [&] {
+  runNode(*Second, [&] {
     return !Reports.empty() && Duty.Revision > 0 &&
            Second->Environment.Metrics.render().find("usage_duty_holder") ==
                std::string::npos;
   });
   // Twice the lease time passes while the first node stands still.
-  run(*Second, [&] { return Duty.Duty.Lease.Epoch == 2; });
-  run(*Second, [&] { return Reports.back().FencingToken == 2; });
+  runNode(*Second, [&] { return Duty.Duty.Lease.Epoch == 2; });
+  runNode(*Second, [&] { return Reports.back().FencingToken == 2; });
   std::size_t Before = Reports.size();
   First->Environment.Clock.advance(5000ms);
   object_revision Seen = Duty.Revision;
-  run(*First, [&, Steps = 0]() mutable { return ++Steps > 300; });
+  runNode(*First, [&, Steps = 0]() mutable { return ++Steps > 300; });
   UNSIGNED_LONGS_EQUAL(Before, Reports.size());
   UNSIGNED_LONGS_EQUAL(Seen, Duty.Revision);
 }
@@ -200,9 +200,9 @@
 // that was reported is not reported with other counts.
 TEST(UsageTask, SuccessorContinuesWithALargerToken) {
   First->watchStore();
-  run(*First, [&] { return Reports.size() == 2; });
+  runNode(*First, [&] { return Reports.size() == 2; });
   Second->watchStore();
-  run(*Second, [&] { return Reports.back().FencingToken == 2; });
+  runNode(*Second, [&] { return Reports.back().FencingToken == 2; });
   for (std::size_t Index = 1; Index < Reports.size(); ++Index) {
     CHECK(Reports[Index - 1].FencingToken <= Reports[Index].FencingToken);
     CHECK(Reports[Index - 1].Window <= Reports[Index].Window);
@@ -213,8 +213,8 @@
 TEST(UsageTask, SendsNothingWhileTheStoreDoesNotConfirm) {
   First->Store.LosesResponses = true;
   First->watchStore();
-  run(*First, [&, Steps = 0]() mutable { return ++Steps > 500; });
+  runNode(*First, [&, Steps = 0]() mutable { return ++Steps > 500; });
   First->Store.LosesResponses = false;
-  run(*First, [&] { return !Reports.empty(); });
+  runNode(*First, [&] { return !Reports.empty(); });
   CHECK(Duty.Duty.Progress.DecidedWindow >= Reports.back().Window);
 }
--- a/libs/mesh/include/gentianlug/mesh/usage_duty.h
+++ b/libs/mesh/include/gentianlug/mesh/usage_duty.h
@@ -49,7 +49,8 @@
 /// example because they all lost power: a wrong report could not be corrected.
 ///
 /// \param Expected the nodes with a server.
-/// \param CountsMayBeOnTheWay whether the holder has taken over so recently that
+/// \param CountsMayBeOnTheWay whether the holder has taken over so recently
+/// that
 ///   other nodes may not have sent it their counts yet.
 usage_action nextUsageStep(const usage_progress &Stored,
                            const usage_collector &Collected,
