--- a/libs/http1/tests/loop_fixture.h
+++ b/libs/http1/tests/loop_fixture.h
@@ -15,19 +15,37 @@
 
 namespace gentianlug::http1 {
 
-/// Returns a TCP port that was free on the loopback address when it was
-/// checked.
-inline std::uint16_t freePort() {
+/// Returns whether \p Port is free on the loopback address.
+inline bool isPortFree(std::uint16_t Port) {
   int Fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in SocketAddress{};
   SocketAddress.sin_family = AF_INET;
   SocketAddress.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t Size = sizeof SocketAddress;
-  (void)bind(Fd, reinterpret_cast<sockaddr *>(&SocketAddress),
-             sizeof SocketAddress);
-  (void)getsockname(Fd, reinterpret_cast<sockaddr *>(&SocketAddress), &Size);
+  SocketAddress.sin_port = htons(Port);
+  bool Free = bind(Fd, reinterpret_cast<sockaddr *>(&SocketAddress),
+                   sizeof SocketAddress) == 0;
   close(Fd);
-  return ntohs(SocketAddress.sin_port);
+  return Free;
+}
+
+/// Returns a TCP port that was free on the loopback address when it was
+/// checked.
+///
+/// The ports lie below those that the system gives to outgoing connections, no
+/// port is returned twice, and processes that run at the same time start at
+/// different ones. So nothing takes the port before the test listens on it.
+inline std::uint16_t freePort() {
+  constexpr unsigned FirstPort = 10000;
+  constexpr unsigned PortCount = 22000;
+  constexpr unsigned PortsPerProcess = 613;
+  static unsigned Next = unsigned(getpid()) * PortsPerProcess;
+  for (unsigned Tries = 0; Tries < PortCount; ++Tries) {
+    auto Port = std::uint16_t(FirstPort + Next++ % PortCount);
+    if (isPortFree(Port))
+      return Port;
+  }
+  FAIL("no free port");
+  return 0;
 }
 
 /// Runs \p Loop until \p Done returns true. Fails the test after 10,000 checks,
