Show that crowds of callers exceed the memory of a machine

What callers see: clients that send requests within the limits, many at a time, and stop just short of their end make the node use more memory than its machine has. The platform ends such a process; ordinary callers lose their connections.

--- a/standins/node_mesh.cpp
+++ b/standins/node_mesh.cpp
@@ -76,6 +76,8 @@
       {"routes", Routes},
       {"services",
        json::array({{{"name", "orders"}, {"healthPath", "/healthz"}}})}};
+  if (!CallerLimits.empty())
+    Configuration["limits"] = CallerLimits;
   for (const auto &[Name, Key] : KeysByAccount)
     Configuration["tenants"].push_back(
         {{"name", Name}, {"apiKeys", json::array({Key})}});
@@ -159,6 +161,7 @@
        {{"platform", {{"address", Machine.NodeStoreAddress.str()}}}}},
       {"terms", {{"bounds", {{"graceS", 6}}}}}};
   Settings["terms"]["bounds"].update(Bounds);
+  Settings["self"]["limits"].update(MachineLimits);
   if (Accounting) {
     Settings["platform"]["cloud"] = {{"address", AccountingAddress.str()},
                                      {"duties", {"usage_report"}}};
--- a/standins/node_mesh.h
+++ b/standins/node_mesh.h
@@ -142,6 +142,11 @@
   std::string CallerKey;
   /// Bounds in the settings of nodes added later, besides the usual ones.
   nlohmann::json Bounds = nlohmann::json::object();
+  /// Limits of the machine in the settings of nodes added later, besides the
+  /// bandwidth of its link.
+  nlohmann::json MachineLimits = nlohmann::json::object();
+  /// Limits for callers in configurations stored later; empty for none.
+  nlohmann::json CallerLimits = nlohmann::json::object();
   /// Accounts named in the calls that servers have received.
   std::map<std::string, int> CallsByAccount;
   /// Calls with credentials that servers have received.
