Take a response for incomplete if its connection was reset during the upload

Cause: a reset leaves one error on the socket. If the node is still writing the upload, the failed write takes it, and the next read returns 0, as at the end of a stream in order. stream_socket::closeAndNotify passed that on as the server's own end, which completes a response without a length.

Change: the socket keeps that a write has failed, and reports no orderly end after that. Bytes that arrived before are still read, so responses with a length or in chunks are not lost. Such a connection is not reused either: its unsent bytes were dropped, so it looked like one that had sent everything.

A server that ends its stream in order and then refuses the rest of the upload now gives an incomplete response too, because the two cannot be told apart.

--- a/libs/http1/src/client_pool.cpp
+++ b/libs/http1/src/client_pool.cpp
@@ -168,7 +168,8 @@
       Reusable = false;
     // If the response arrives before the whole request is sent, the rest of the
     // body would precede the next request on this connection.
-    if (!Response.KeepAlive || HasSurplusBytes || Socket.hasUnsentBytes())
+    if (!Response.KeepAlive || HasSurplusBytes || Socket.hasUnsentBytes() ||
+        Socket.hasWriteFailed())
       Reusable = false;
     IdleSince = std::chrono::steady_clock::now();
     IdleDeadline = IdleSince + advertisedIdleTimeout(Response);
--- a/libs/http1/src/detail/stream_socket.cpp
+++ b/libs/http1/src/detail/stream_socket.cpp
@@ -208,9 +208,11 @@
   if (Count <= 0) {
     bool Retry = Count == 0 || errno == EAGAIN || errno == EINTR;
     // A broken connection also raises a read event, which notifies the owner in
-    // a later iteration of the event loop.
-    if (!Retry)
+    // a later iteration of the event loop, after the bytes that arrived before.
+    if (!Retry) {
+      WriteFailed = true;
       evbuffer_drain(Out, unsentBytes());
+    }
     watchWritable(Retry);
     return 0;
   }
@@ -243,7 +245,9 @@
 
 void stream_socket::closeAndNotify(bool Orderly) {
   close();
-  Callbacks.Closed(Orderly);
+  // The failed write has taken the error of a reset connection, so that the
+  // read after it returned the end of the stream.
+  Callbacks.Closed(Orderly && !WriteFailed);
 }
 
 } // namespace gentianlug::http1::detail
--- a/libs/http1/src/detail/stream_socket.h
+++ b/libs/http1/src/detail/stream_socket.h
@@ -26,8 +26,8 @@
     /// Received bytes have been appended to `input`.
     std::function<void()> Readable;
     /// The connection has been closed by the peer or by an error. \p Orderly is
-    /// true if the peer ended the stream without a reset. Called at most once,
-    /// and never after `close`.
+    /// true if the peer ended the stream without a reset and has taken all
+    /// bytes until then. Called at most once, and never after `close`.
     std::function<void(bool Orderly)> Closed;
     /// All bytes written so far have been sent.
     std::function<void()> Sent = nullptr;
@@ -61,6 +61,9 @@
   /// Closes immediately and discards unsent bytes.
   void close();
   bool isOpen() const { return Fd >= 0; }
+  /// Returns whether the peer no longer takes bytes, because a write has
+  /// failed. Bytes that it sent before may still arrive.
+  bool hasWriteFailed() const { return WriteFailed; }
 
   std::size_t sendChunk(std::size_t Bytes) override;
   bool hasPendingChunk() const override;
@@ -92,6 +95,7 @@
   bool Reading = false;
   bool WatchingWrite = false;
   bool ShutdownWhenSent = false;
+  bool WriteFailed = false;
 };
 
 } // namespace gentianlug::http1::detail
--- a/libs/http1/tests/client_pool_test.cpp
+++ b/libs/http1/tests/client_pool_test.cpp
@@ -1,6 +1,8 @@
 #include "gentianlug/http1/client_pool.h"
 #include "loop_fixture.h"
 
+#include <functional>
+#include <optional>
 #include <vector>
 
 using namespace gentianlug;
@@ -67,6 +69,10 @@
     close(AcceptedFds.at(Connection));
     AcceptedFds.erase(AcceptedFds.begin() + std::ptrdiff_t(Connection));
   }
+  /// Ends the stream to the peer; bytes from it are still taken.
+  void endSending(std::size_t Connection) const {
+    shutdown(AcceptedFds.at(Connection), SHUT_WR);
+  }
   void disconnect(std::size_t Connection) const {
     shutdown(AcceptedFds.at(Connection), SHUT_RDWR);
   }
@@ -82,6 +88,9 @@
 
 } // namespace
 
+/// More than the kernel buffers for one connection.
+static constexpr std::size_t UploadBytes = 16UL << 20;
+
 TEST_GROUP(ClientPool) {
   net::event_loop Loop;
   byte_listener Peer;
@@ -251,6 +260,47 @@
   CHECK(Results[0].Outcome == send_outcome::ConnectionLost);
 }
 
+/// Returns the result of an upload that the server answers, without reading it
+/// to its end, with a response without a length, before \p End ends the
+/// connection.
+static send_result
+earlyResponse(net::event_loop &Loop, client_pool &Pool, byte_listener &Peer,
+              const std::function<void(byte_listener &)> &End) {
+  std::optional<send_result> Result;
+  request Upload;
+  Upload.Method = "POST";
+  Upload.Target = "/";
+  Upload.Body = std::string(UploadBytes, 'u');
+  Pool.send(Peer.Address, Upload, {},
+            [&](send_result Ended) { Result = std::move(Ended); });
+  runUntil(Loop, [&] { return Peer.requests() == 1; });
+  Peer.respond(0, "HTTP/1.1 200 OK\r\n\r\n" + std::string(20000, 'a'));
+  End(Peer);
+  runUntil(Loop, [&] { return Result.has_value(); });
+  Peer.Received.clear();
+  return *Result;
+}
+
+// Guards against part of a response that is passed on as a complete one: the
+// write that fails first takes the error of the connection, and the next read
+// then returns the end of the stream.
+TEST(ClientPool, ResetDuringAnUploadEndsAResponseIncomplete) {
+  for (int Round = 0; Round < 12; ++Round) {
+    send_result Result = earlyResponse(
+        Loop, Pool, Peer, [](byte_listener &Server) { Server.reset(0); });
+    CHECK(Result.Outcome == send_outcome::ConnectionLost);
+  }
+}
+
+// Guards against an upload that fails because the server answers early: it
+// reads on, and ends its response in order.
+TEST(ClientPool, EarlyResponseOfAServerThatReadsOnIsComplete) {
+  send_result Result = earlyResponse(
+      Loop, Pool, Peer, [](byte_listener &Server) { Server.endSending(0); });
+  CHECK(Result.Outcome == send_outcome::Responded);
+  UNSIGNED_LONGS_EQUAL(20000, Result.Response.Body.size());
+}
+
 // Guards against a chunked response that ends after a chunk and looks complete.
 TEST(ClientPool, ChunkedResponseWithoutItsEndIsIncomplete) {
   send("a1");
