Fail messages whose head is refused

What callers see: a CONNECT request, which the node refuses because what follows it is no HTTP, is passed on to a server.

Cause: the callback for the end of the head reported a refusal by returning 1, which http_parser reads as "this message has no body". The message was then complete, with its fault noted but its state overwritten.

Change: all refusals return -1, an error in every callback.

--- a/libs/http1/src/message_reader.cpp
+++ b/libs/http1/src/message_reader.cpp
@@ -46,10 +46,11 @@
     ExpectsContinue = false;
   }
 
+  /// Returns the value by which every callback of http_parser reports an error.
   int fail(reader_fault Cause) {
     State = reader_state::Failed;
     Fault = Cause;
-    return 1;
+    return -1;
   }
 
   /// Trailer fields are counted, but not kept: they must not change a message
--- a/libs/http1/tests/message_reader_test.cpp
+++ b/libs/http1/tests/message_reader_test.cpp
@@ -77,6 +77,14 @@
   CHECK(Chunked.fault() == reader_fault::BodyTooLarge);
 }
 
+// Guards against a request for a tunnel that is passed on to a server: what
+// follows it would not be framed as HTTP.
+TEST(MessageReader, ConnectRequestsFail) {
+  auto Reader = requestReader();
+  Reader.feed("CONNECT a:1 HTTP/1.1\r\nHost: h\r\n\r\n" + Get);
+  CHECK(Reader.state() == reader_state::Failed);
+}
+
 // Guards against a truncated response being taken for a complete one.
 TEST(MessageReader, TruncatedResponseFails) {
   message_reader Reader(message_kind::Response, {});
