Refuse responses whose status line is not of HTTP/1.x

Cause: http_parser, as Debian builds it, accepts any version, statuses of one to three digits and with leading zeros, empty lines before the status line and several spaces. message_reader took every status below 200 for an interim response and every other one for a final one.

Change: status_line_check compares the first 13 bytes of each response with the form of HTTP/1.x, and the status must lie between 100 and 599. Interim responses now end a call of the parser, so that the check starts again at the first byte after them.

--- a/libs/http1/src/message_reader.cpp
+++ b/libs/http1/src/message_reader.cpp
@@ -1,5 +1,7 @@
 #include "gentianlug/http1/message_reader.h"
 
+#include "detail/status_line.h"
+
 #include <http_parser.h>
 #include <utility>
 
@@ -9,6 +11,7 @@
   message_kind Kind;
   message_limits Limits;
   http_parser Parser{};
+  detail::status_line_check StatusLine;
   reader_state State = reader_state::Idle;
   reader_fault Fault = reader_fault::None;
   std::string Method;
@@ -28,10 +31,15 @@
     reset();
   }
 
-  void reset() {
+  void resetParser() {
     http_parser_init(&Parser, Kind == message_kind::Request ? HTTP_REQUEST
                                                             : HTTP_RESPONSE);
     Parser.data = this;
+    StatusLine = {};
+  }
+
+  void reset() {
+    resetParser();
     State = reader_state::Idle;
     Fault = reader_fault::None;
     Method.clear();
@@ -80,6 +88,9 @@
         return fail(reader_fault::Malformed);
     State = reader_state::Body;
     KeepAlive = http_should_keep_alive(&Parser) != 0;
+    if (Kind == message_kind::Response &&
+        !detail::isValidStatus(Parser.status_code))
+      return fail(reader_fault::Malformed);
     if (Kind == message_kind::Request) {
       Method = http_method_str(http_method(Parser.method));
       // Tunnels are not supported; the bytes after a CONNECT request would not
@@ -106,24 +117,48 @@
   }
 
   int onMessageComplete() {
-    constexpr int FirstFinalStatus = 200;
-    constexpr int SwitchingProtocols = 101;
-    if (Kind == message_kind::Response &&
-        Parser.status_code < FirstFinalStatus) {
-      if (Parser.status_code == SwitchingProtocols)
-        return fail(reader_fault::Malformed);
-      // An interim response: the final one follows.
-      Headers = {};
-      Reason.clear();
-      HeadBytes = 0;
-      State = reader_state::Head;
-      return 0;
-    }
     State = reader_state::Complete;
     http_parser_pause(&Parser, 1);
     return 0;
   }
 
+  bool hasInterimResponse() const {
+    return Kind == message_kind::Response && State == reader_state::Complete &&
+           detail::isInterimStatus(Parser.status_code);
+  }
+
+  /// Prepares for the final response after an interim one.
+  void skipInterimResponse() {
+    constexpr unsigned SwitchingProtocols = 101;
+    if (Parser.status_code == SwitchingProtocols) {
+      fail(reader_fault::Malformed);
+      return;
+    }
+    resetParser();
+    Headers = {};
+    Reason.clear();
+    HeadBytes = 0;
+    State = reader_state::Head;
+  }
+
+  /// Parses bytes up to the end of the current message, also of an interim
+  /// response. Returns the number of bytes consumed.
+  std::size_t parse(std::string_view Bytes) {
+    if (Kind == message_kind::Response && !StatusLine.accept(Bytes)) {
+      fail(reader_fault::Malformed);
+      return 0;
+    }
+    std::size_t Consumed =
+        http_parser_execute(&Parser, &settings(), Bytes.data(), Bytes.size());
+    http_errno Error = HTTP_PARSER_ERRNO(&Parser);
+    if (Error == HPE_HEADER_OVERFLOW)
+      fail(reader_fault::HeadTooLarge);
+    else if (Error != HPE_OK && Error != HPE_PAUSED &&
+             State != reader_state::Failed)
+      fail(reader_fault::Malformed);
+    return Consumed;
+  }
+
   static impl &self(http_parser *Parser) {
     return *static_cast<impl *>(Parser->data);
   }
@@ -180,14 +215,12 @@
     return 0;
   if (Impl->State == reader_state::Idle)
     Impl->State = reader_state::Head;
-  std::size_t Consumed = http_parser_execute(&Impl->Parser, &impl::settings(),
-                                             Bytes.data(), Bytes.size());
-  http_errno Error = HTTP_PARSER_ERRNO(&Impl->Parser);
-  if (Error == HPE_HEADER_OVERFLOW)
-    Impl->fail(reader_fault::HeadTooLarge);
-  else if (Error != HPE_OK && Error != HPE_PAUSED &&
-           Impl->State != reader_state::Failed)
-    Impl->fail(reader_fault::Malformed);
+  std::size_t Consumed = Impl->parse(Bytes);
+  while (Impl->hasInterimResponse()) {
+    Impl->skipInterimResponse();
+    if (Impl->State == reader_state::Head && Consumed < Bytes.size())
+      Consumed += Impl->parse(Bytes.substr(Consumed));
+  }
   return Consumed;
 }
 
@@ -197,7 +230,7 @@
       Impl->fail(reader_fault::Malformed);
     return;
   }
-  http_parser_execute(&Impl->Parser, &impl::settings(), nullptr, 0);
+  Impl->parse({});
   if (Impl->State != reader_state::Complete)
     Impl->fail(reader_fault::Malformed);
 }
--- a/libs/http1/tests/message_reader_test.cpp
+++ b/libs/http1/tests/message_reader_test.cpp
@@ -131,6 +131,46 @@
   CHECK(Reader.fault() == reader_fault::Malformed);
 }
 
+/// Returns whether a response whose first bytes are \p Start is refused, alone
+/// and in single bytes, with a sound response and the connection's end after
+/// it.
+static bool isRefused(const std::string &Start) {
+  const std::string Sound = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound";
+  message_reader Whole(message_kind::Response, {});
+  Whole.feed(Start + Sound);
+  Whole.finish();
+  message_reader Parts(message_kind::Response, {});
+  for (char Byte : Start + Sound)
+    Parts.feed({&Byte, 1});
+  Parts.finish();
+  return Whole.fault() == reader_fault::Malformed &&
+         Parts.fault() == reader_fault::Malformed;
+}
+
+// Guards against bytes of a server in trouble that are passed on as a response,
+// or skipped like an interim one so that a later response takes their place.
+TEST(MessageReader, InvalidStatusLinesFail) {
+  for (const char *Line :
+       {"HTTP/1.1 000 Zero", "HTTP/1.1 099 Low", "HTTP/1.1 20 Short",
+        "HTTP/1.1 2000 Long", "HTTP/1.1 0200 Zero", "HTTP/1.1 600 High",
+        "HTTP/1.1 999 High", "HTTP/1.1 -20 Sign", "HTTP/1.1 2OO OK",
+        "HTTP/1.1 ", "HTTP/1.1", "HTTP/1.1  200 OK", "HTTP/7.9 200 OK",
+        "HTTP/0.9 200 OK", "HTTP/11.1 200 OK", "HTTP/1.11 200 OK",
+        "HTTP/1.1 101 Other", "\r\nHTTP/1.1 200 OK", "ICY 200 OK"})
+    for (const char *Fields : {"Content-Length: 3\r\n\r\nabc", "\r\n"})
+      CHECK_TEXT(isRefused(std::string(Line) + "\r\n" + Fields), Line);
+}
+
+TEST(MessageReader, ValidStatusLinesPass) {
+  for (const char *Line :
+       {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200",
+        "HTTP/1.1 299 Unknown", "HTTP/1.1 599 Last", "HTTP/1.1 421 a b c"}) {
+    message_reader Reader(message_kind::Response, {});
+    Reader.feed(std::string(Line) + "\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TEXT(Reader.state() == reader_state::Complete, Line);
+  }
+}
+
 TEST_GROUP(Message){};
 
 // Guards against forwarding the framing fields of one connection on another.
