Refuse messages with lines that are no header fields

A caller can send such a line too: "Transfer-Encoding : chunked" was understood as framing by the node and passed on to the server as another field.

Cause: http_parser, as Debian builds it, allows blanks in field names, and reads a line that begins with a blank as part of the field before it.

Change: message_reader refuses field names that are no HTTP token, in heads and trailers, of requests (status 400) and responses (502). response_head_check, formerly status_line_check, also refuses continued lines in responses; those of requests are still joined to one line, as HTTP allows.

Measured: MessageReader.InvalidFieldNamesInResponsesFail and InvalidFieldNamesInRequestsFail failed before, at their first name, and pass now with 12 names each.

--- a/libs/http1/src/message_reader.cpp
+++ b/libs/http1/src/message_reader.cpp
@@ -1,6 +1,7 @@
 #include "gentianlug/http1/message_reader.h"
 
-#include "detail/status_line.h"
+#include "detail/response_head_check.h"
+#include "gentianlug/net/http_syntax.h"
 
 #include <http_parser.h>
 #include <utility>
@@ -11,7 +12,7 @@
   message_kind Kind;
   message_limits Limits;
   http_parser Parser{};
-  detail::status_line_check StatusLine;
+  detail::response_head_check HeadCheck;
   reader_state State = reader_state::Idle;
   reader_fault Fault = reader_fault::None;
   std::string Method;
@@ -35,7 +36,7 @@
     http_parser_init(&Parser, Kind == message_kind::Request ? HTTP_REQUEST
                                                             : HTTP_RESPONSE);
     Parser.data = this;
-    StatusLine = {};
+    HeadCheck = {};
   }
 
   void reset() {
@@ -89,7 +90,7 @@
     State = reader_state::Body;
     KeepAlive = http_should_keep_alive(&Parser) != 0;
     if (Kind == message_kind::Response &&
-        !detail::isValidStatus(Parser.status_code))
+        !net::isValidStatus(int(Parser.status_code)))
       return fail(reader_fault::Malformed);
     if (Kind == message_kind::Request) {
       Method = http_method_str(http_method(Parser.method));
@@ -124,7 +125,7 @@
 
   bool hasInterimResponse() const {
     return Kind == message_kind::Response && State == reader_state::Complete &&
-           detail::isInterimStatus(Parser.status_code);
+           net::isInterimStatus(int(Parser.status_code));
   }
 
   /// Prepares for the final response after an interim one.
@@ -144,7 +145,7 @@
   /// Parses bytes up to the end of the current message, also of an interim
   /// response. Returns the number of bytes consumed.
   std::size_t parse(std::string_view Bytes) {
-    if (Kind == message_kind::Response && !StatusLine.accept(Bytes)) {
+    if (Kind == message_kind::Response && !HeadCheck.accept(Bytes)) {
       fail(reader_fault::Malformed);
       return 0;
     }
@@ -178,6 +179,8 @@
       Callbacks.on_header_field = [](http_parser *P, const char *Data,
                                      std::size_t Size) {
         self(P).finishField();
+        if (!net::isFieldNamePart({Data, Size}))
+          return self(P).fail(reader_fault::Malformed);
         return self(P).appendToHead(self(P).Name, Data, Size);
       };
       Callbacks.on_header_value = [](http_parser *P, const char *Data,
--- a/libs/http1/tests/message_reader_test.cpp
+++ b/libs/http1/tests/message_reader_test.cpp
@@ -1,6 +1,7 @@
 #include "gentianlug/http1/message_reader.h"
 
 #include <CppUTest/TestHarness.h>
+#include <vector>
 
 using namespace gentianlug::http1;
 
@@ -161,6 +162,57 @@
       CHECK_TEXT(isRefused(std::string(Line) + "\r\n" + Fields), Line);
 }
 
+/// Field names that HTTP does not allow.
+static const std::vector<std::string> InvalidNames = {
+    "Bad Name", "Bad\tName",       "Bad\x01Name",        " Name",
+    "Name ",    "Content-Length ", "Transfer-Encoding ", "Na(me)",
+    "Na\"me",   "Na\x7fme",        "Na\xc3\xa9me",       ""};
+
+// Guards against a response with a line that is no header field: the line is
+// passed on, or read as one of the fields that frame the body.
+TEST(MessageReader, InvalidFieldNamesInResponsesFail) {
+  for (const std::string &Name : InvalidNames) {
+    CHECK_TEXT(isRefused("HTTP/1.1 200 OK\r\n" + Name +
+                         ": 1\r\nContent-Length: 3\r\n\r\nabc"),
+               Name.c_str());
+    CHECK_TEXT(isRefused("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "1\r\na\r\n0\r\n" +
+                         Name + ": 1\r\n\r\n"),
+               Name.c_str());
+  }
+}
+
+// Guards against a line that looks like a field to one reader and like part of
+// the field before it to another.
+TEST(MessageReader, ContinuedLinesInResponsesFail) {
+  for (const char *Line : {" Content-Length: 9", "\tmore", " "})
+    for (const char *Before : {"X: y", "X:"})
+      CHECK_TEXT(isRefused(std::string("HTTP/1.1 200 OK\r\n") + Before +
+                           "\r\n" + Line + "\r\nContent-Length: 3\r\n\r\nabc"),
+                 Line);
+}
+
+// Guards against request smuggling: a server may read such a line as a field
+// that frames the body.
+TEST(MessageReader, InvalidFieldNamesInRequestsFail) {
+  for (const std::string &Name : InvalidNames) {
+    auto Reader = requestReader();
+    Reader.feed("POST / HTTP/1.1\r\n" + Name +
+                ": 1\r\nHost: h\r\nContent-Length: 1\r\n\r\na");
+    CHECK_TEXT(Reader.fault() == reader_fault::Malformed, Name.c_str());
+  }
+}
+
+// Guards against refusing odd names and values that HTTP allows.
+TEST(MessageReader, AllFieldNamesOfHttpPass) {
+  auto Reader = requestReader();
+  Reader.feed(
+      "GET / HTTP/1.1\r\nHost: h\r\n!#$%&'*+-.^_`|~09azAZ: \t x\xc3\t\r\n"
+      "Empty:\r\n\r\n");
+  CHECK(Reader.state() == reader_state::Complete);
+  CHECK(Reader.takeRequest().Headers.find("!#$%&'*+-.^_`|~09azaz") != nullptr);
+}
+
 TEST(MessageReader, ValidStatusLinesPass) {
   for (const char *Line :
        {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200",
