Refuse malformed responses in the client on evhttp too

What callers see: with the project's own program, gentianlug-node, a response with the status 099 or 600, a field name with a blank, two lengths, or a length beside chunks is passed on as a response. After a 103, a call that the server may have run counts as never sent, so it may be sent to another server.

Cause: evhttp takes such heads, and http_client checked only that a length or a transfer coding was named, whichever it was. evhttp ends the request after an interim response other than 100, which http_client took for a connection that was never established.

Change: findResponseFault checks status, field names and framing, with the same syntax functions as libs/http1. The new error MalformedResponse says that the peer may have processed the request.

--- a/libs/net/include/gentianlug/net/net_errc.h
+++ b/libs/net/include/gentianlug/net/net_errc.h
@@ -19,6 +19,9 @@
   /// Only the close of the connection would delimit the body, so a truncated
   /// body could not be detected.
   ResponseWithoutLength = 607,
+  /// The peer sent bytes that are no valid HTTP response. It may have processed
+  /// the request.
+  MalformedResponse = 608,
 };
 
 std::error_code make_error_code(net_errc Code);
--- a/libs/net/src/event_loop.cpp
+++ b/libs/net/src/event_loop.cpp
@@ -22,6 +22,7 @@
     {int(net_errc::ResponseTooLarge), "answer too large"},
     {int(net_errc::Canceled), "request canceled"},
     {int(net_errc::ResponseWithoutLength), "answer without a length"},
+    {int(net_errc::MalformedResponse), "malformed response"},
 };
 
 std::error_code make_error_code(net_errc Code) {
--- a/libs/net/src/http_client.cpp
+++ b/libs/net/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "gentianlug/net/http_client.h"
 
 #include "detail/evhttp_convert.h"
+#include "detail/response_check.h"
 #include "gentianlug/core/clock.h"
 #include "gentianlug/net/event_loop.h"
 #include "gentianlug/net/net_errc.h"
@@ -234,16 +235,17 @@
 
   static int onHeaders(evhttp_request *Response, void *Argument) {
     auto *Pending = static_cast<pending_request *>(Argument);
+    constexpr int Continue = 100;
     int Status = evhttp_request_get_response_code(Response);
-    bool Informational = Status >= 100 && Status < 200;
-    if (Informational || Pending->HeadersReceived || Pending->Abandoned)
+    if (Status == Continue || Pending->HeadersReceived || Pending->Abandoned)
       return 0;
     http_response Head;
     Head.Status = Status;
     Head.Headers =
         detail::readHeaders(evhttp_request_get_input_headers(Response));
-    if (!isSelfDelimiting(Response, Head)) {
-      Pending->Failure = net_errc::ResponseWithoutLength;
+    if (auto Fault =
+            detail::findResponseFault(Head, mayHaveBody(Response, Status))) {
+      Pending->Failure = *Fault;
       return -1;
     }
     Pending->HeadersReceived = true;
@@ -251,12 +253,11 @@
     return 0;
   }
 
-  static bool isSelfDelimiting(evhttp_request *Response,
-                               const http_response &Head) {
-    bool NoBody = Head.Status == 204 || Head.Status == 304 ||
-                  evhttp_request_get_command(Response) == EVHTTP_REQ_HEAD;
-    return NoBody || Head.Headers.find("Content-Length") ||
-           Head.Headers.find("Transfer-Encoding");
+  static bool mayHaveBody(evhttp_request *Response, int Status) {
+    constexpr int NoContent = 204;
+    constexpr int NotModified = 304;
+    return Status != NoContent && Status != NotModified &&
+           evhttp_request_get_command(Response) != EVHTTP_REQ_HEAD;
   }
 
   static void onBodyPart(evhttp_request *Response, void *Argument) {
--- a/libs/net/tests/streaming_test.cpp
+++ b/libs/net/tests/streaming_test.cpp
@@ -141,6 +141,34 @@
         make_error_code(net_errc::ResponseWithoutLength));
 }
 
+// Guards against bytes that are no response of HTTP/1.x and are passed on as
+// one, or taken for a connection that was never established, after which a
+// request that must run at most once would be sent again.
+TEST(streaming, RejectsMalformedResponses) {
+  const std::string Sound = "Content-Length: 3\r\n\r\nabc";
+  for (const std::string &Response :
+       {"HTTP/1.1 000 Zero\r\n" + Sound, "HTTP/1.1 099 Low\r\n" + Sound,
+        "HTTP/1.1 20 Short\r\n" + Sound, "HTTP/1.1 2000 Long\r\n" + Sound,
+        "HTTP/1.1 600 High\r\n" + Sound, "HTTP/7.9 200 OK\r\n" + Sound,
+        "HTTP/1.1 200 OK\r\nBad Name: 1\r\n" + Sound,
+        "HTTP/1.1 200 OK\r\nBad\x01Name: 1\r\n" + Sound,
+        "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n" + Sound,
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + Sound,
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + Sound,
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: +3\r\n\r\nabc"),
+        std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc"),
+        std::string("HTTP/1.1 103 Early\r\n\r\n")}) {
+    raw_listener Peer(Response);
+    Received.clear();
+    End.reset();
+    download(Peer.Address);
+    CHECK_TEXT(!*End, Response.c_str());
+    CHECK_TEXT(End->failure().Code != net_errc::ConnectFailed,
+               Response.c_str());
+    CHECK_TEXT(Received.empty(), Response.c_str());
+  }
+}
+
 // Guards against collecting a body larger than the configured limit.
 TEST(streaming, SendRejectsBodyAboveLimit) {
   http_server Server(Loop, {}, [&](http_exchange Exchange) {
