Hold each body once, in parts of limited size

What callers see: nothing in calm; but a single legal body of 64 MB takes 141 MB of a node whose machine may have 160 MB, so a second large message ends the process.

Cause: a body was one string, which needs its old and its new size whenever it grows, and each step of a call had its own copy: the exchange of the caller, the call that waits for the local server or for another node, and a response that passes between tasks.

Change: message_body keeps the bytes in shared parts of at most 256 KB, and body_builder gathers them while they arrive. Copies of a request or response share the parts, and sockets send them without copying.

--- a/fuzz/message_fuzz.cpp
+++ b/fuzz/message_fuzz.cpp
@@ -21,10 +21,10 @@
                                http1::message_kind Kind) {
   if (Kind == http1::message_kind::Response) {
     http1::response Response = Reader.takeResponse();
-    return std::to_string(Response.Status) + "\n" + Response.Body;
+    return std::to_string(Response.Status) + "\n" + Response.Body.str();
   }
   http1::request Request = Reader.takeRequest();
-  return Request.Method + " " + Request.Target + "\n" + Request.Body;
+  return Request.Method + " " + Request.Target + "\n" + Request.Body.str();
 }
 
 /// Parses \p Bytes in chunks of at most \p ChunkBytes bytes.
--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -162,7 +162,7 @@
   }
 
   void onFollowerPoll(std::shared_ptr<http1::exchange> Exchange) {
-    auto Since = decodeCursor(Exchange->receivedRequest().Body);
+    auto Since = decodeCursor(Exchange->receivedRequest().Body.str());
     if (!Since) {
       Context.Log.write(event::BadRequest,
                         {{"peer", Exchange->clientAddress().str()},
@@ -341,7 +341,7 @@
                           Context.Clock.steadyNow() + NotRelayAvoidance);
       return searchNextRelay("does not relay", false);
     }
-    auto Update = decodeUpdate(Result.Response.Body);
+    auto Update = decodeUpdate(Result.Response.Body.str());
     if (!Update) {
       Context.Log.write(event::RelayPeerLost,
                         {{"relay", PolledRelay.str()},
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -108,7 +108,8 @@
   void onEvidence(http1::exchange &Exchange) {
     constexpr int Ok = 200;
     constexpr int BadRequest = 400;
-    auto Evidence = wire::decodeServerEvidence(Exchange.receivedRequest().Body);
+    auto Evidence =
+        wire::decodeServerEvidence(Exchange.receivedRequest().Body.str());
     if (!Evidence)
       Context.Log.write(event::BadRequest,
                         {{"peer", Exchange.clientAddress().str()},
--- a/libs/gateway/src/usage_task.cpp
+++ b/libs/gateway/src/usage_task.cpp
@@ -166,7 +166,7 @@
   void onUsage(http1::exchange &Exchange) {
     if (!contends())
       return Exchange.respond(http1::makeStatusResponse(Gone));
-    auto Entries = decodeUsage(Exchange.receivedRequest().Body);
+    auto Entries = decodeUsage(Exchange.receivedRequest().Body.str());
     if (!Entries) {
       Context.Log.write(event::BadRequest,
                         {{"peer", Exchange.clientAddress().str()},
--- a/libs/gateway/tests/messages_test.cpp
+++ b/libs/gateway/tests/messages_test.cpp
@@ -111,7 +111,7 @@
   CHECK(Read.Outcome == serving_outcome::Answered);
   CHECK(Read.Report == Result.Report);
   LONGS_EQUAL(201, Read.Response.Status);
-  STRCMP_EQUAL("body", Read.Response.Body.c_str());
+  STRCMP_EQUAL("body", Read.Response.Body.str().c_str());
   UNSIGNED_LONGS_EQUAL(1, Read.Response.Headers.size());
 }
 
--- a/libs/http1/include/gentianlug/http1/message.h
+++ b/libs/http1/include/gentianlug/http1/message.h
@@ -1,6 +1,8 @@
 #ifndef GENTIANLUG_HTTP1_MESSAGE_H
 #define GENTIANLUG_HTTP1_MESSAGE_H
 
+#include "gentianlug/http1/message_body.h"
+
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -45,7 +47,7 @@
   std::string Method;
   std::string Target;
   header_list Headers;
-  std::string Body;
+  message_body Body;
   /// Whether the client keeps the connection open after the response.
   bool KeepAlive = true;
 };
@@ -55,7 +57,7 @@
   int Status = 0;
   std::string Reason;
   header_list Headers;
-  std::string Body;
+  message_body Body;
   /// Whether the server keeps the connection open after this response.
   bool KeepAlive = true;
 };
--- a/libs/http1/src/client_pool.cpp
+++ b/libs/http1/src/client_pool.cpp
@@ -84,7 +84,7 @@
       Reader.expectNoBody();
     std::string Head = encodeHead(Request);
     Socket.write(std::move(Head));
-    Socket.write(std::move(Request.Body));
+    Socket.write(Request.Body);
     if (Connected)
       return;
     ConnectTimer.emplace(Loop, [this] {
--- a/libs/http1/src/detail/server_connection.cpp
+++ b/libs/http1/src/detail/server_connection.cpp
@@ -148,7 +148,7 @@
     // timeout.
     if (Reader.expectsContinue() && !ContinueSent && Exchanges.empty()) {
       ContinueSent = true;
-      Socket.write("HTTP/1.1 100 Continue\r\n\r\n");
+      Socket.write(std::string("HTTP/1.1 100 Continue\r\n\r\n"));
     }
   }
   Dispatching = false;
@@ -194,7 +194,7 @@
       Last = LastRequestSeen = true;
     if (!Exchange->Abandoned) {
       Socket.write(encodeHead(*Exchange->Response, !Last));
-      Socket.write(std::move(Exchange->Response->Body));
+      Socket.write(Exchange->Response->Body);
     }
     LastActivity = std::chrono::steady_clock::now();
     if (Last) {
--- a/libs/http1/src/detail/stream_socket.cpp
+++ b/libs/http1/src/detail/stream_socket.cpp
@@ -78,19 +78,35 @@
 void stream_socket::write(std::string Bytes) {
   if (!isOpen() || Bytes.empty())
     return;
+  append(std::make_shared<const std::string>(std::move(Bytes)));
+  flushIfWritable();
+}
+
+void stream_socket::write(const message_body &Body) {
+  if (!isOpen() || Body.empty())
+    return;
+  for (const message_body::part &Part : Body.parts())
+    append(Part);
+  flushIfWritable();
+}
+
+void stream_socket::append(message_body::part Bytes) {
   // Shorter strings are copied into the buffer, longer ones referenced.
   constexpr std::size_t MinReferenceBytes = 4096;
-  if (Bytes.size() < MinReferenceBytes) {
-    evbuffer_add(Out, Bytes.data(), Bytes.size());
-  } else {
-    auto *Owned = new std::string(std::move(Bytes));
-    evbuffer_add_reference(
-        Out, Owned->data(), Owned->size(),
-        [](const void *, std::size_t, void *Extra) {
-          delete static_cast<std::string *>(Extra);
-        },
-        Owned);
+  if (Bytes->size() < MinReferenceBytes) {
+    evbuffer_add(Out, Bytes->data(), Bytes->size());
+    return;
   }
+  auto *Owner = new message_body::part(std::move(Bytes));
+  evbuffer_add_reference(
+      Out, (*Owner)->data(), (*Owner)->size(),
+      [](const void *, std::size_t, void *Extra) {
+        delete static_cast<message_body::part *>(Extra);
+      },
+      Owner);
+}
+
+void stream_socket::flushIfWritable() {
   if (!Connecting && !WatchingWrite)
     flush();
 }
--- a/libs/http1/src/detail/stream_socket.h
+++ b/libs/http1/src/detail/stream_socket.h
@@ -3,6 +3,7 @@
 
 #include "gentianlug/core/address.h"
 #include "gentianlug/http1/link_pacer.h"
+#include "gentianlug/http1/message_body.h"
 #include "gentianlug/http1/socket_options.h"
 #include "gentianlug/net/event_loop.h"
 
@@ -51,6 +52,8 @@
 
   /// Sends \p Bytes. What the kernel does not accept at once is buffered.
   void write(std::string Bytes);
+  /// Sends \p Body without copying its parts.
+  void write(const message_body &Body);
   bool hasUnsentBytes() const;
   std::size_t unsentBytes() const;
   void pauseReading();
@@ -73,6 +76,10 @@
   address peer() const;
 
 private:
+  /// Adds \p Bytes to the output. They are copied if they are few.
+  void append(message_body::part Bytes);
+  void flushIfWritable();
+
   static void onEvent(int Fd, short What, void *Argument);
   void onReadable();
   void onWritable();
--- a/libs/http1/src/message_reader.cpp
+++ b/libs/http1/src/message_reader.cpp
@@ -26,7 +26,7 @@
   header_list Headers;
   std::string Name;
   std::string Value;
-  std::string Body;
+  body_builder Body;
   std::size_t HeadBytes = 0;
   std::size_t InterimResponses = 0;
   bool ValueSeen = false;
@@ -135,7 +135,7 @@
   int onBody(const char *Data, std::size_t Size) {
     if (Body.size() + Size > Limits.MaxBodyBytes)
       return fail(reader_fault::BodyTooLarge);
-    Body.append(Data, Size);
+    Body.append({Data, Size});
     return 0;
   }
 
@@ -273,15 +273,14 @@
 
 request message_reader::takeRequest() {
   request Request{std::move(Impl->Method), std::move(Impl->Target),
-                  std::move(Impl->Headers), std::move(Impl->Body),
-                  Impl->KeepAlive};
+                  std::move(Impl->Headers), Impl->Body.take(), Impl->KeepAlive};
   Impl->reset();
   return Request;
 }
 
 response message_reader::takeResponse() {
   response Response{int(Impl->Parser.status_code), std::move(Impl->Reason),
-                    std::move(Impl->Headers), std::move(Impl->Body),
+                    std::move(Impl->Headers), Impl->Body.take(),
                     Impl->KeepAlive};
   Impl->SkipBody = false;
   Impl->reset();
--- a/libs/http1/tests/client_pool_test.cpp
+++ b/libs/http1/tests/client_pool_test.cpp
@@ -131,7 +131,7 @@
   awaitResults(2);
   UNSIGNED_LONGS_EQUAL(1, Pool.openedConnections());
   CHECK(Results[1].Reused);
-  STRCMP_EQUAL("a2", Results[1].Response.Body.c_str());
+  STRCMP_EQUAL("a2", Results[1].Response.Body.str().c_str());
 }
 
 // Guards against a response to an earlier request being taken for the response
@@ -145,7 +145,7 @@
   awaitRequests(2);
   Peer.respond(0, responseTo("a1") + responseTo("a2"));
   awaitResults(2);
-  STRCMP_EQUAL("a2", Results[1].Response.Body.c_str());
+  STRCMP_EQUAL("a2", Results[1].Response.Body.str().c_str());
   // The connection is not reused after a response to another request.
   send("a3");
   awaitRequests(3);
--- a/libs/http1/tests/message_reader_test.cpp
+++ b/libs/http1/tests/message_reader_test.cpp
@@ -53,7 +53,7 @@
   CHECK(Reader.state() == reader_state::Complete);
   request Request = Reader.takeRequest();
   STRCMP_EQUAL("some value", Request.Headers.find("long-name")->c_str());
-  STRCMP_EQUAL("abc", Request.Body.c_str());
+  STRCMP_EQUAL("abc", Request.Body.str().c_str());
 }
 
 // Guards against request smuggling through framing that two parsers could
@@ -76,7 +76,7 @@
   Reader.feed("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
               "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
   CHECK(Reader.state() == reader_state::Complete);
-  STRCMP_EQUAL("abcde", Reader.takeRequest().Body.c_str());
+  STRCMP_EQUAL("abcde", Reader.takeRequest().Body.str().c_str());
 }
 
 // Guards against a caller that exhausts the memory of the node.
@@ -117,7 +117,7 @@
   Reader.finish();
   CHECK(Reader.state() == reader_state::Complete);
   response Response = Reader.takeResponse();
-  STRCMP_EQUAL("abc", Response.Body.c_str());
+  STRCMP_EQUAL("abc", Response.Body.str().c_str());
   CHECK_FALSE(Response.KeepAlive);
 }
 
@@ -129,7 +129,7 @@
               "\r\n1\r\na\r\n0\r\nX-Late: 1\r\nHost: other\r\n\r\n");
   CHECK(Reader.state() == reader_state::Complete);
   request Request = Reader.takeRequest();
-  STRCMP_EQUAL("a", Request.Body.c_str());
+  STRCMP_EQUAL("a", Request.Body.str().c_str());
   STRCMP_EQUAL("h", Request.Headers.find("host")->c_str());
   POINTERS_EQUAL(nullptr, Request.Headers.find("x-late"));
 }
--- a/libs/http1/tests/server_test.cpp
+++ b/libs/http1/tests/server_test.cpp
@@ -142,7 +142,7 @@
   runUntil(Loop, [&] { return Client.hasReceived("100 Continue"); });
   Client.send("ab");
   runUntil(Loop, [&] { return Requests.size() == 1; });
-  STRCMP_EQUAL("ab", at("/p").receivedRequest().Body.c_str());
+  STRCMP_EQUAL("ab", at("/p").receivedRequest().Body.str().c_str());
 }
 
 // Guards against header fields that the backend server did not send; only
--- a/soak/soak_main.cpp
+++ b/soak/soak_main.cpp
@@ -90,9 +90,9 @@
       ++Succeeded;
       if (Recovering)
         RecoveredNodes.insert(Node);
-      if (Response.Body != "answer to " + Id)
-        reportViolation(Id +
-                        " got an unexpected response body: " + Response.Body);
+      if (Response.Body.str() != "answer to " + Id)
+        reportViolation(
+            Id + " got an unexpected response body: " + Response.Body.str());
     } else if (Response.Status == Unavailable) {
       RefusedIds.push_back(Id);
     } else if (Response.Status == NotFound) {
--- a/standins/node_mesh.cpp
+++ b/standins/node_mesh.cpp
@@ -89,7 +89,7 @@
       Loop, http1::server_limits{},
       [this](std::shared_ptr<http1::exchange> Exchange) {
         const http1::request &Request = Exchange->receivedRequest();
-        json Body = json::parse(Request.Body);
+        json Body = json::parse(Request.Body.str());
         usage_report Report;
         Report.Window = Body["windowNumber"];
         Report.FencingToken =
--- a/standins/object_store_standin.cpp
+++ b/standins/object_store_standin.cpp
@@ -250,7 +250,7 @@
                                                   const std::string &Kind,
                                                   const std::string &Name,
                                                   bool Status) {
-  json Body = json::parse(Request.Body, nullptr, false);
+  json Body = json::parse(Request.Body.str(), nullptr, false);
   json Meta = Body.is_object() && Body.contains("metadata") ? Body["metadata"]
                                                             : json::object();
   std::string Target =
