Keep the fields of unfinished heads as one text

What callers see: crowds of heads of legal size, made of short or odd lines, exceed the memory of the machine; the process ends.

Cause: each line became two strings in a list that doubles when it grows, up to 16 times as many bytes as on the connection. 450 heads of 16 kB took 126 MB.

Change: message_reader keeps names and values of a message in one text, field_text, and builds the list of fields, of the right size, when the message is complete. The fields that the reader itself needs are looked up in the text.

UnfinishedHeadsTakeNoMoreThanTwiceTheirSize is new.

--- a/libs/http1/include/gentianlug/http1/message.h
+++ b/libs/http1/include/gentianlug/http1/message.h
@@ -27,6 +27,8 @@
   /// Replaces all fields named \p Name by one, which is appended.
   void set(std::string_view Name, std::string Value);
   void remove(std::string_view Name);
+  /// Allocates memory for \p Count fields.
+  void reserve(std::size_t Count) { Fields.reserve(Count); }
 
   /// Returns the value of the first field named \p Name, or null.
   ///
@@ -37,6 +39,8 @@
   auto begin() const { return Fields.begin(); }
   auto end() const { return Fields.end(); }
   std::size_t size() const { return Fields.size(); }
+  /// Returns the bytes of memory that the fields take. Complexity: linear.
+  std::size_t heldBytes() const;
 
 private:
   std::vector<header_field> Fields;
--- a/libs/http1/include/gentianlug/http1/message_reader.h
+++ b/libs/http1/include/gentianlug/http1/message_reader.h
@@ -60,11 +60,16 @@
   reader_state state() const;
   /// Returns the size of the body that has been read so far.
   std::size_t bodyBytes() const;
+  /// Returns the bytes of memory that the message takes so far.
+  std::size_t heldBytes() const;
   reader_fault fault() const;
   /// Returns whether the client waits for a `100 Continue` response before it
   /// sends the body.
   bool expectsContinue() const;
 
+  /// Discards what has been read and prepares for the next message.
+  void discard();
+
   /// Moves the complete message out and prepares for the next one.
   request takeRequest();
   response takeResponse();
--- a/libs/http1/src/message.cpp
+++ b/libs/http1/src/message.cpp
@@ -38,6 +38,19 @@
                                    }));
 }
 
+/// Returns the bytes that \p Text allocates.
+static std::size_t allocatedBytes(const std::string &Text) {
+  static const std::size_t InPlaceBytes = std::string().capacity();
+  return Text.capacity() > InPlaceBytes ? Text.capacity() + 1 : 0;
+}
+
+std::size_t header_list::heldBytes() const {
+  std::size_t Bytes = Fields.capacity() * sizeof(header_field);
+  for (const header_field &Field : Fields)
+    Bytes += allocatedBytes(Field.Name) + allocatedBytes(Field.Value);
+  return Bytes;
+}
+
 bool isHopByHopField(std::string_view Name) {
   static constexpr std::array<std::string_view, 10> Names = {
       "connection", "keep-alive",        "proxy-connection", "te",
--- a/libs/http1/src/message_reader.cpp
+++ b/libs/http1/src/message_reader.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/http1/message_reader.h"
 
+#include "detail/field_text.h"
 #include "detail/response_head_check.h"
 #include "gentianlug/net/http_syntax.h"
 
@@ -23,13 +24,10 @@
   std::string Method;
   std::string Target;
   std::string Reason;
-  header_list Headers;
-  std::string Name;
-  std::string Value;
+  detail::field_text Fields;
   body_builder Body;
   std::size_t HeadBytes = 0;
   std::size_t InterimResponses = 0;
-  bool ValueSeen = false;
   bool KeepAlive = true;
   bool SkipBody = false;
   bool ExpectsContinue = false;
@@ -52,13 +50,10 @@
     Method.clear();
     Target.clear();
     Reason.clear();
-    Headers = {};
-    Name.clear();
-    Value.clear();
+    Fields = {};
     Body.clear();
     HeadBytes = 0;
     InterimResponses = 0;
-    ValueSeen = false;
     ExpectsContinue = false;
   }
 
@@ -73,27 +68,36 @@
   /// whose header fields have been checked.
   bool inTrailer() const { return State == reader_state::Body; }
 
-  int appendToHead(std::string &Text, const char *Data, std::size_t Size) {
+  int countHeadBytes(std::size_t Size) {
     HeadBytes += Size;
-    if (HeadBytes > Limits.MaxHeadBytes)
-      return fail(reader_fault::HeadTooLarge);
-    if (!inTrailer())
-      Text.append(Data, Size);
+    return HeadBytes > Limits.MaxHeadBytes ? fail(reader_fault::HeadTooLarge)
+                                           : 0;
+  }
+
+  int appendToLine(std::string &Text, std::string_view Bytes) {
+    if (int Failure = countHeadBytes(Bytes.size()))
+      return Failure;
+    Text.append(Bytes);
     return 0;
   }
 
-  void finishField() {
-    if (!ValueSeen || inTrailer())
-      return;
-    Headers.add(std::exchange(Name, {}), std::exchange(Value, {}));
-    ValueSeen = false;
+  int onFieldName(std::string_view Bytes) {
+    if (!net::isFieldNamePart(Bytes))
+      return fail(reader_fault::Malformed);
+    if (!inTrailer())
+      Fields.appendToName(Bytes);
+    return countHeadBytes(Bytes.size());
+  }
+
+  int onFieldValue(std::string_view Bytes) {
+    if (Bytes.find_first_of("\r\n") != std::string_view::npos)
+      return fail(reader_fault::Malformed);
+    if (!inTrailer())
+      Fields.appendToValue(Bytes);
+    return countHeadBytes(Bytes.size());
   }
 
   int onHeadersComplete() {
-    finishField();
-    for (const header_field &Field : Headers)
-      if (Field.Value.find_first_of("\r\n") != std::string::npos)
-        return fail(reader_fault::Malformed);
     State = reader_state::Body;
     KeepAlive = http_should_keep_alive(&Parser) != 0;
     if (Kind == message_kind::Response && !isValidResponseHead())
@@ -104,7 +108,7 @@
       // be framed as HTTP.
       if (Parser.method == HTTP_CONNECT)
         return fail(reader_fault::Malformed);
-      const std::string *Expect = Headers.find("expect");
+      auto Expect = Fields.find("expect");
       ExpectsContinue = Expect && equalIgnoringCase(*Expect, "100-continue");
     }
     if (Parser.content_length != UnknownLength &&
@@ -119,7 +123,7 @@
       return net::isValidStatus(Status);
     bool HasBody =
         (Parser.content_length != UnknownLength && Parser.content_length > 0) ||
-        Headers.find("transfer-encoding");
+        Fields.find("transfer-encoding");
     return !HasBody && InterimResponses < MaxInterimResponses;
   }
 
@@ -159,7 +163,7 @@
     }
     ++InterimResponses;
     resetParser();
-    Headers = {};
+    Fields = {};
     Reason.clear();
     HeadBytes = 0;
     State = reader_state::Head;
@@ -193,23 +197,19 @@
       http_parser_settings_init(&Callbacks);
       Callbacks.on_url = [](http_parser *P, const char *Data,
                             std::size_t Size) {
-        return self(P).appendToHead(self(P).Target, Data, Size);
+        return self(P).appendToLine(self(P).Target, {Data, Size});
       };
       Callbacks.on_status = [](http_parser *P, const char *Data,
                                std::size_t Size) {
-        return self(P).appendToHead(self(P).Reason, Data, Size);
+        return self(P).appendToLine(self(P).Reason, {Data, Size});
       };
       Callbacks.on_header_field = [](http_parser *P, const char *Data,
                                      std::size_t Size) {
-        self(P).finishField();
-        if (!net::isFieldNamePart({Data, Size}))
-          return self(P).fail(reader_fault::Malformed);
-        return self(P).appendToHead(self(P).Name, Data, Size);
+        return self(P).onFieldName({Data, Size});
       };
       Callbacks.on_header_value = [](http_parser *P, const char *Data,
                                      std::size_t Size) {
-        self(P).ValueSeen = true;
-        return self(P).appendToHead(self(P).Value, Data, Size);
+        return self(P).onFieldValue({Data, Size});
       };
       Callbacks.on_headers_complete = [](http_parser *P) {
         return self(P).onHeadersComplete();
@@ -235,6 +235,15 @@
 
 std::size_t message_reader::bodyBytes() const { return Impl->Body.size(); }
 
+std::size_t message_reader::heldBytes() const {
+  if (Impl->State == reader_state::Idle)
+    return 0;
+  return Impl->Fields.heldBytes() + Impl->Target.capacity() +
+         Impl->Reason.capacity() + Impl->Body.heldBytes();
+}
+
+void message_reader::discard() { Impl->reset(); }
+
 std::size_t message_reader::feed(std::string_view Bytes) {
   if (Impl->State == reader_state::Complete ||
       Impl->State == reader_state::Failed || Bytes.empty())
@@ -273,14 +282,15 @@
 
 request message_reader::takeRequest() {
   request Request{std::move(Impl->Method), std::move(Impl->Target),
-                  std::move(Impl->Headers), Impl->Body.take(), Impl->KeepAlive};
+                  Impl->Fields.takeHeaders(), Impl->Body.take(),
+                  Impl->KeepAlive};
   Impl->reset();
   return Request;
 }
 
 response message_reader::takeResponse() {
   response Response{int(Impl->Parser.status_code), std::move(Impl->Reason),
-                    std::move(Impl->Headers), Impl->Body.take(),
+                    Impl->Fields.takeHeaders(), Impl->Body.take(),
                     Impl->KeepAlive};
   Impl->SkipBody = false;
   Impl->reset();
--- a/libs/http1/tests/message_reader_test.cpp
+++ b/libs/http1/tests/message_reader_test.cpp
@@ -102,6 +102,23 @@
   CHECK(Reader.state() == reader_state::Failed);
 }
 
+// Guards against heads that take many times their size: a list of fields has
+// two strings for each line.
+TEST(MessageReader, UnfinishedHeadsTakeNoMoreThanTwiceTheirSize) {
+  auto Reader = requestReader();
+  std::string Head = "GET / HTTP/1.1\r\nHost: h\r\n";
+  while (Head.size() < 16000)
+    Head += "a:\r\n";
+  Reader.feed(Head);
+  CHECK(Reader.state() == reader_state::Head);
+  CHECK(Reader.heldBytes() <= 2 * Head.size());
+  Reader.feed("\r\n");
+  request Request = Reader.takeRequest();
+  CHECK(Request.Headers.count("a") > 3000);
+  CHECK(Request.Headers.heldBytes() > 2 * Head.size());
+  CHECK(Reader.heldBytes() < 100);
+}
+
 // Guards against a truncated response being taken for a complete one.
 TEST(MessageReader, TruncatedResponseFails) {
   message_reader Reader(message_kind::Response, {});
