Divide the descriptors of the process among its connections

What callers see: clients that open many connections take all descriptors of the process, so that other callers, nodes, the server and the store get none.

Cause: each listener took up to 2,000 connections, whatever the process may open, and each call in flight may open another one. Without descriptors, accept() fails and the event loop reports the same connection again at once.

Change: divideDescriptors derives the numbers of callers' connections, nodes' connections and calls in flight from maxFds in the settings. At the limit, the connection that has been silent for longest and has no request in progress makes room.

--- a/libs/gateway/include/gentianlug/gateway/entry_task.h
+++ b/libs/gateway/include/gentianlug/gateway/entry_task.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLUG_GATEWAY_ENTRY_TASK_H
 #define GENTIANLUG_GATEWAY_ENTRY_TASK_H
 
+#include "gentianlug/gateway/process_limits.h"
 #include "gentianlug/gateway/serving_task.h"
 #include "gentianlug/mesh/load_balancer.h"
 #include "gentianlug/mesh/route_table.h"
@@ -26,7 +27,8 @@
 class entry_task {
 public:
   /// \param Pacer paces large responses on the machine's link.
-  entry_task(task_context Context, node_location Location, serving_task &Local,
+  entry_task(task_context Context, node_location Location,
+             const connection_limits &Connections, serving_task &Local,
              http1::link_pacer &Pacer);
   ~entry_task();
 
--- a/libs/gateway/include/gentianlug/gateway/gateway_node.h
+++ b/libs/gateway/include/gentianlug/gateway/gateway_node.h
@@ -3,6 +3,7 @@
 
 #include "gentianlug/gateway/entry_task.h"
 #include "gentianlug/gateway/mesh_store.h"
+#include "gentianlug/gateway/process_limits.h"
 #include "gentianlug/gateway/rollout_task.h"
 #include "gentianlug/gateway/usage_interfaces.h"
 
@@ -22,6 +23,7 @@
   /// Accepts calls of other nodes.
   address NodeListener;
   mesh::mesh_bounds Bounds;
+  process_limits Limits;
   /// Terms of the usage reports; empty if none are due.
   std::optional<mesh::usage_terms> Usage;
 };
--- a/libs/gateway/include/gentianlug/gateway/serving_task.h
+++ b/libs/gateway/include/gentianlug/gateway/serving_task.h
@@ -43,8 +43,10 @@
                http1::link_pacer &Pacer);
   ~serving_task() override;
 
+  /// \param MaxConnections maximum number of connections of other nodes.
+  ///
   /// Errors: `net_errc::ListenFailed`.
-  result<void> listen(const address &At);
+  result<void> listen(const address &At, std::size_t MaxConnections);
 
   /// Sets the handler for evidence from other nodes.
   void setEvidenceHandler(
--- a/libs/gateway/src/entry_task.cpp
+++ b/libs/gateway/src/entry_task.cpp
@@ -7,9 +7,6 @@
 
 using observe::event;
 
-/// Number of calls in flight above which new ones are refused, to bound memory
-/// use.
-static constexpr std::size_t MaxCallsInFlight = 2000;
 /// Retry-After of calls refused before an attempt, for example because the node
 /// has just started and has no configuration.
 static constexpr std::chrono::milliseconds StartupRetryAfter{300};
@@ -17,6 +14,7 @@
 
 struct entry_task::impl {
   entry_state Entry;
+  connection_limits Connections;
   std::unique_ptr<http1::server> Listener;
   std::unique_ptr<mesh::route_table> Routes;
   http1::link_pacer &Pacer;
@@ -25,9 +23,17 @@
   bool RejectsKeys = false;
   bool RejectsNewCalls = false;
 
-  impl(task_context Context, node_location Location, serving_task &Local,
+  impl(task_context Context, node_location Location,
+       const connection_limits &Connections, serving_task &Local,
        http1::link_pacer &Pacer)
-      : Entry(Context, std::move(Location), Local), Pacer(Pacer) {}
+      : Entry(Context, std::move(Location), Local), Connections(Connections),
+        Pacer(Pacer) {}
+
+  http1::server_limits listenerLimits() const {
+    http1::server_limits Limits;
+    Limits.MaxConnections = Connections.Callers;
+    return Limits;
+  }
 
   void sendLocalResponse(http1::exchange &Exchange, const std::string &CallId,
                          int Status, const char *Reason) {
@@ -146,7 +152,7 @@
       return;
     const service_name *Service =
         mesh::route_table::selectService(*Route, Entry.Context.Gen);
-    if (!Service || Listener->pendingRequests() > MaxCallsInFlight)
+    if (!Service || Listener->pendingRequests() > Connections.Calls)
       return sendLocalResponse(*Exchange, Parameters.CallId, Unavailable,
                                Service ? "too-many-calls" : "no-weight");
     call_plan Plan;
@@ -179,15 +185,16 @@
 };
 
 entry_task::entry_task(task_context Context, node_location Location,
+                       const connection_limits &Connections,
                        serving_task &Local, http1::link_pacer &Pacer)
-    : Impl(std::make_shared<impl>(Context, std::move(Location), Local, Pacer)) {
-}
+    : Impl(std::make_shared<impl>(Context, std::move(Location), Connections,
+                                  Local, Pacer)) {}
 
 entry_task::~entry_task() = default;
 
 result<void> entry_task::listen(const address &At) {
   Impl->Listener = std::make_unique<http1::server>(
-      Impl->Entry.Context.Loop, http1::server_limits{},
+      Impl->Entry.Context.Loop, Impl->listenerLimits(),
       [Self = Impl.get()](std::shared_ptr<http1::exchange> Exchange) {
         Self->onRequest(std::move(Exchange));
       });
@@ -203,7 +210,7 @@
 
 void entry_task::onConfiguration(
     std::shared_ptr<const mesh::mesh_configuration> Next) {
-  http1::server_limits Limits;
+  http1::server_limits Limits = Impl->listenerLimits();
   Limits.Message.MaxHeadBytes = Next->Limits.MaxHeaderBytes;
   Limits.Message.MaxBodyBytes = Next->Limits.MaxBodyBytes;
   Limits.HeadTimeout = Next->Limits.HeaderTimeout;
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -43,6 +43,7 @@
   mesh_store &Store;
   http1::link_pacer Pacer;
   serving_task Serving;
+  connection_limits Connections;
   entry_task Entry;
   rollout_task Rollouts;
   feed_task Feed;
@@ -80,7 +81,8 @@
       : Context(Context), Settings(std::move(InitialSettings)), Store(Store),
         Pacer(Context.Loop, linkBytesPerSecond(Settings.Location)),
         Serving(Context, linkBytesPerSecond(Settings.Location), Pacer),
-        Entry(Context, Settings.Location, Serving, Pacer),
+        Connections(divideDescriptors(Settings.Limits)),
+        Entry(Context, Settings.Location, Connections, Serving, Pacer),
         Rollouts(Context, Settings.Location.Node, Settings.NodeListener, Store,
                  Serving),
         Feed(Context, Settings.Location, Store, Node),
@@ -419,7 +421,9 @@
 result<void> gateway_node::start() {
   if (auto Opened = Impl->Entry.listen(Impl->Settings.CallerListener); !Opened)
     return Opened;
-  if (auto Opened = Impl->Serving.listen(Impl->Settings.NodeListener); !Opened)
+  if (auto Opened = Impl->Serving.listen(Impl->Settings.NodeListener,
+                                         Impl->Connections.Nodes);
+      !Opened)
     return Opened;
   Impl->FlushTimer.startEvery(LogFlushPeriod);
   if (Impl->Usage)
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -527,13 +527,15 @@
 
 serving_task::~serving_task() = default;
 
-result<void> serving_task::listen(const address &At) {
+result<void> serving_task::listen(const address &At,
+                                  std::size_t MaxConnections) {
   http1::server_limits Limits;
   // The limits of callers are enforced by the nodes that accept their calls.
   // Idle connections are closed by the other nodes first.
   Limits.Message.MaxHeadBytes = 256UL << 10;
   Limits.Message.MaxBodyBytes = 128UL << 20;
   Limits.IdleTimeout = std::chrono::minutes(1);
+  Limits.MaxConnections = MaxConnections;
   Impl->Listener = std::make_unique<http1::server>(
       Impl->Context.Loop, Limits,
       [Self = Impl.get()](std::shared_ptr<http1::exchange> Exchange) {
--- a/libs/gateway/tests/entry_task_test.cpp
+++ b/libs/gateway/tests/entry_task_test.cpp
@@ -60,7 +60,7 @@
     Location.Node = node_id("entry");
     Location.Zone = zone_name("z");
     Entry = std::make_unique<entry_task>(Environment.context(), Location,
-                                         Serving, Pacer);
+                                         divideDescriptors({}), Serving, Pacer);
     CHECK(bool(Entry->listen(Address)));
     mesh::route Route;
     Route.Name = route_name("r");
--- a/libs/http1/include/gentianlug/http1/client_pool.h
+++ b/libs/http1/include/gentianlug/http1/client_pool.h
@@ -44,9 +44,10 @@
 
 /// HTTP/1.1 client with a pool of persistent connections.
 ///
-/// At most `MaxIdlePerAddress` idle connections are pooled for each address;
-/// further ones are closed after their response. The pool does not limit the
-/// number of concurrent requests; its callers do.
+/// At most `MaxIdlePerAddress` idle connections are pooled for each address,
+/// and `MaxIdleConnections` in all; further ones are closed after their
+/// response. The pool does not limit the number of concurrent requests; its
+/// callers do.
 class client_pool {
 public:
   using ticket = std::uint64_t;
@@ -73,6 +74,8 @@
 
 /// Maximum number of idle connections that are pooled for one address.
 inline constexpr std::size_t MaxIdlePerAddress = 32;
+/// Maximum number of idle connections of a pool.
+inline constexpr std::size_t MaxIdleConnections = 256;
 
 } // namespace gentianlug::http1
 
--- a/libs/http1/include/gentianlug/http1/server.h
+++ b/libs/http1/include/gentianlug/http1/server.h
@@ -20,6 +20,9 @@
   /// Time limit from the first byte of a request head to its end.
   std::chrono::milliseconds HeadTimeout{5000};
   std::chrono::milliseconds IdleTimeout{30000};
+  /// Beyond this number, a connection without a request in progress is closed
+  /// for each new one, that of the client that has been silent for longest. If
+  /// there is none, the new one is closed.
   std::size_t MaxConnections = 2000;
   /// Maximum number of concurrent requests of one connection. The connection is
   /// not read while it is at this limit.
--- a/libs/http1/src/client_pool.cpp
+++ b/libs/http1/src/client_pool.cpp
@@ -204,6 +204,7 @@
   std::uint64_t Opened = 0;
   std::unordered_map<ticket, std::shared_ptr<pooled_connection>> Active;
   std::map<address, std::vector<std::shared_ptr<pooled_connection>>> Idle;
+  std::size_t IdleCount = 0;
   net::timer IdleTimer;
 
   impl(net::event_loop &Loop, message_limits Limits,
@@ -224,6 +225,7 @@
       if (Now - Candidate->IdleSince > MaxIdleTime)
         return nullptr;
       Found->second.pop_back();
+      --IdleCount;
       if (Now < Candidate->IdleDeadline && Candidate->Socket.isOpen())
         return Candidate;
       Candidate->OnClose = nullptr;
@@ -255,12 +257,14 @@
     auto Self = Connection.shared_from_this();
     removeActive(Connection);
     auto &IdleConnections = Idle[Connection.To];
-    if (IdleConnections.size() >= MaxIdlePerAddress) {
+    if (IdleConnections.size() >= MaxIdlePerAddress ||
+        IdleCount >= MaxIdleConnections) {
       Connection.OnClose = nullptr;
       Connection.end();
       return;
     }
     IdleConnections.push_back(std::move(Self));
+    ++IdleCount;
   }
 
   /// Returns the size of the bodies that are being received.
@@ -280,7 +284,7 @@
     auto Found = Idle.find(Connection.To);
     if (Found == Idle.end())
       return;
-    std::erase_if(Found->second, [&](const auto &Pooled) {
+    IdleCount -= std::erase_if(Found->second, [&](const auto &Pooled) {
       return Pooled.get() == &Connection;
     });
     if (Found->second.empty())
--- a/libs/http1/src/detail/server_connection.cpp
+++ b/libs/http1/src/detail/server_connection.cpp
@@ -101,6 +101,13 @@
     closeAndNotify();
 }
 
+std::optional<server_connection::time_point>
+server_connection::idleSince() const {
+  if (!Exchanges.empty() || Socket.hasUnsentBytes())
+    return std::nullopt;
+  return LastActivity;
+}
+
 void server_connection::closeAndNotify() {
   Socket.close();
   onClosed();
--- a/libs/http1/src/detail/server_connection.h
+++ b/libs/http1/src/detail/server_connection.h
@@ -38,6 +38,9 @@
   void closeIfIdle();
   /// Closes the connection and notifies the pending requests.
   void closeAndNotify();
+  /// Returns since when the client has neither sent nor received anything, if
+  /// no request of it is in progress.
+  std::optional<time_point> idleSince() const;
   std::size_t unsentBytes() const { return Socket.unsentBytes(); }
 
 private:
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -39,7 +39,7 @@
   }
 
   void accept(int Fd) {
-    if (Connections.size() >= State.Limits.MaxConnections) {
+    if (Connections.size() >= State.Limits.MaxConnections && !closeOneIdle()) {
       ::close(Fd);
       return;
     }
@@ -51,6 +51,30 @@
     Connection->start(Fd, SocketOptions);
   }
 
+  /// Closes the connection that has been idle for longest. Returns whether
+  /// there was one.
+  bool closeOneIdle() {
+    std::shared_ptr<detail::server_connection> Oldest;
+    detail::server_connection::time_point OldestSince{};
+    for (auto &[Pointer, Connection] : Connections) {
+      auto Since = Connection->idleSince();
+      if (!Since || (Oldest && *Since >= OldestSince))
+        continue;
+      Oldest = Connection;
+      OldestSince = *Since;
+    }
+    if (Oldest)
+      Oldest->closeAndNotify();
+    return Oldest != nullptr;
+  }
+
+  /// Waits until descriptors may be free again; the event loop would report the
+  /// same connection without a pause.
+  void onAcceptError() {
+    if (Listener)
+      evconnlistener_disable(Listener);
+  }
+
   template <class Function> void forEach(Function Operation) {
     std::vector<std::shared_ptr<detail::server_connection>> Snapshot;
     Snapshot.reserve(Connections.size());
@@ -61,6 +85,8 @@
   }
 
   void enforceTimeouts() {
+    if (Listener)
+      evconnlistener_enable(Listener);
     auto Now = std::chrono::steady_clock::now();
     forEach([&](auto &Connection) { Connection.enforceTimeouts(Now); });
   }
@@ -87,6 +113,9 @@
       reinterpret_cast<sockaddr *>(&SocketAddress), sizeof SocketAddress);
   if (!Impl->Listener)
     return makeError(net::net_errc::ListenFailed, At.str());
+  evconnlistener_set_error_cb(Impl->Listener, [](evconnlistener *, void *Self) {
+    static_cast<impl *>(Self)->onAcceptError();
+  });
   Impl->TimeoutTimer.startEvery(TimeoutCheckPeriod);
   return {};
 }
--- a/libs/http1/tests/server_test.cpp
+++ b/libs/http1/tests/server_test.cpp
@@ -174,6 +174,34 @@
   });
 }
 
+// Guards against a caller that gets no connection because others hold all of
+// them without a request.
+TEST(Server, NewConnectionsReplaceIdleOnes) {
+  Limits.MaxConnections = 3;
+  start();
+  byte_client Busy(Port);
+  Busy.send(get("/busy"));
+  runUntil(Loop, [&] { return Requests.size() == 1; });
+  byte_client Idle(Port);
+  byte_client Unfinished(Port);
+  Unfinished.send("GET / HTTP/1.1\r\n");
+  runUntil(Loop, [&] { return Server->connections() == 3; });
+  byte_client First(Port);
+  First.send(get("/first"));
+  byte_client Second(Port);
+  Second.send(get("/second"));
+  runUntil(Loop, [&] { return Requests.size() == 3; });
+  UNSIGNED_LONGS_EQUAL(3, Server->connections());
+  // All connections have a request in progress now.
+  byte_client Third(Port);
+  runUntil(Loop, [&] {
+    Third.receive();
+    return Third.EndOfStream;
+  });
+  at("/busy").respond(textResponse("busy"));
+  runUntil(Loop, [&] { return Busy.hasReceived("busy"); });
+}
+
 TEST_GROUP(PacedServer) {
   static constexpr double BytesPerSecond = 1e6;
   net::event_loop Loop;
