Count the messages of others against the memory of the machine

What callers see: many large bodies of legal size that stop short of their end, whole, in pieces or in chunks, or complete ones whose calls wait, exceed the memory of the machine; the process ends and ordinary callers lose their connections. The same with answers that nobody reads.

Cause: each message had a limit, but nothing limited all of them together: not requests that are received, at any listener, nor those of calls in flight, nor responses that wait for their readers. Only the responses of one client pool had a common limit.

Change: memory_budget, a decision without sockets in the new library memory, divides 70% of memoryMb in the settings among requests, calls, responses and deliveries. Large requests may use 65% of that and all requests 75%, so that ordinary callers and the responses of servers keep their room. Where there is none, requests without progress for 1 s give way, then deliveries without progress for 3 s; else the growth is refused. memory_guard applies it to all servers and pools of the node. A request without memory gets 503 with Retry-After, which is true because it has reached no server; at the listener for nodes it says so to the other node, which may try another server. Log event MemoryShort, metrics memory_held_bytes, memory_max_bytes and memory_refusals_total.

--- a/libs/gateway/include/gentianlug/gateway/process_limits.h
+++ b/libs/gateway/include/gentianlug/gateway/process_limits.h
@@ -7,9 +7,15 @@
 
 /// Resources of the machine that the process may use.
 struct process_limits {
+  std::size_t MemoryBytes = 256UL << 20;
   std::size_t MaxDescriptors = 4100;
 };
 
+/// Returns the number of bytes that the process may hold of messages of others.
+/// The rest is for the program, its configuration, the state of connections and
+/// what the allocator cannot use.
+std::size_t maxMessageBytes(const process_limits &Limits);
+
 /// Maximum numbers of connections. Together they stay within the descriptors of
 /// the process, so that callers cannot use up those that other nodes, the store
 /// and the server need.
--- a/libs/gateway/include/gentianlug/gateway/task_context.h
+++ b/libs/gateway/include/gentianlug/gateway/task_context.h
@@ -5,6 +5,7 @@
 #include "gentianlug/core/random.h"
 #include "gentianlug/gateway/call_dialect.h"
 #include "gentianlug/gateway/event_log.h"
+#include "gentianlug/http1/memory_guard.h"
 #include "gentianlug/net/event_loop.h"
 #include "gentianlug/observe/metrics.h"
 
@@ -18,6 +19,7 @@
   event_log &Log;
   observe::metric_set &Metrics;
   generator &Gen;
+  http1::memory_guard &Memory;
 };
 
 } // namespace gentianlug::gateway
--- a/libs/gateway/src/entry_call.h
+++ b/libs/gateway/src/entry_call.h
@@ -18,7 +18,7 @@
 struct entry_state {
   entry_state(task_context Context, node_location Location, serving_task &Local)
       : Context(Context), Location(std::move(Location)), Local(Local),
-        Peers(Context.Loop) {}
+        Peers(Context) {}
 
   task_context Context;
   node_location Location;
--- a/libs/gateway/src/entry_task.cpp
+++ b/libs/gateway/src/entry_task.cpp
@@ -10,6 +10,9 @@
 /// Retry-After of calls refused before an attempt, for example because the node
 /// has just started and has no configuration.
 static constexpr std::chrono::milliseconds StartupRetryAfter{300};
+/// Mean Retry-After of requests that are refused because there is no memory for
+/// them. Requests that receive nothing have given way by then.
+static constexpr std::chrono::milliseconds MemoryRetryAfter{1000};
 static constexpr int Unauthorized = 401;
 
 struct entry_task::impl {
@@ -35,6 +38,16 @@
     return Limits;
   }
 
+  /// Adds the header fields of the node's own responses to a request that was
+  /// refused before it became a call.
+  void decorateRefusal(http1::response &Response) const {
+    constexpr int Unavailable = 503;
+    std::optional<std::chrono::milliseconds> RetryAfter;
+    if (Response.Status == Unavailable)
+      RetryAfter = drawJitter(Entry.Context.Gen, MemoryRetryAfter);
+    Entry.Context.Dialect.addLocalResponseHeaders(Response, "", RetryAfter);
+  }
+
   void sendLocalResponse(http1::exchange &Exchange, const std::string &CallId,
                          int Status, const char *Reason) {
     constexpr int Unavailable = 503;
@@ -204,6 +217,11 @@
             event::BadRequest,
             {{"client", Client.str()}, {"status", std::int64_t(Status)}});
       });
+  Impl->Listener->setRefusalDecorator(
+      [Self = Impl.get()](http1::response &Response) {
+        Self->decorateRefusal(Response);
+      });
+  Impl->Listener->setMemoryGuard(Impl->Entry.Context.Memory);
   Impl->Listener->setPacer(Impl->Pacer);
   return Impl->Listener->listen(At, {});
 }
--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -90,7 +90,8 @@
   impl(task_context Context, node_location Location, mesh_store &Store,
        mesh_watcher &Node)
       : Context(Context), Location(std::move(Location)), Store(Store),
-        Node(Node), History(drawHexId(Context.Gen)), Pool(Context.Loop, {}, {}),
+        Node(Node), History(drawHexId(Context.Gen)),
+        Pool(Context.Loop, {}, {}, &Context.Memory),
         PollTimer(Context.Loop, [this] { poll(); }),
         PollTimeoutTimer(Context.Loop, [this] { onPollTimeout(); }),
         PollExpiryTimer(Context.Loop, [this] { expireFollowerPolls(); }),
--- a/libs/gateway/src/peer_transport.cpp
+++ b/libs/gateway/src/peer_transport.cpp
@@ -13,9 +13,10 @@
 /// packet loss takes 200 ms or more.
 static constexpr std::chrono::milliseconds PeerUnacknowledgedTimeout{700};
 
-peer_transport::peer_transport(net::event_loop &Loop)
-    : Pool(Loop, ResponseLimits,
-           {PeerUnacknowledgedTimeout, std::chrono::seconds(1)}) {}
+peer_transport::peer_transport(const task_context &Context)
+    : Pool(Context.Loop, ResponseLimits,
+           {PeerUnacknowledgedTimeout, std::chrono::seconds(1)},
+           &Context.Memory) {}
 
 call_transport::ticket peer_transport::send(const mesh::server_record &Target,
                                             const peer_call &Call,
--- a/libs/gateway/src/peer_transport.h
+++ b/libs/gateway/src/peer_transport.h
@@ -2,6 +2,7 @@
 #define GENTIANLUG_GATEWAY_PEER_TRANSPORT_H
 
 #include "gentianlug/gateway/call_transport.h"
+#include "gentianlug/gateway/task_context.h"
 #include "gentianlug/http1/client_pool.h"
 
 namespace gentianlug::gateway {
@@ -9,7 +10,7 @@
 /// Sends calls to other nodes over HTTP.
 class peer_transport final : public call_transport {
 public:
-  explicit peer_transport(net::event_loop &Loop);
+  explicit peer_transport(const task_context &Context);
 
   ticket send(const mesh::server_record &Target, const peer_call &Call,
               const http1::request &Request, callback Done) override;
--- a/libs/gateway/src/process_limits.cpp
+++ b/libs/gateway/src/process_limits.cpp
@@ -4,6 +4,7 @@
 
 namespace gentianlug::gateway {
 
+static constexpr double MessageShare = 0.7;
 /// Descriptors for files, idle connections to other nodes, the store and the
 /// endpoints for the local server and for readiness.
 static constexpr std::size_t ReservedDescriptors = 600;
@@ -12,6 +13,10 @@
 /// More connections would cost more memory than their requests are worth.
 static constexpr std::size_t MaxConnections = 2000;
 
+std::size_t maxMessageBytes(const process_limits &Limits) {
+  return std::size_t(double(Limits.MemoryBytes) * MessageShare);
+}
+
 connection_limits divideDescriptors(const process_limits &Limits) {
   std::size_t Reserved =
       std::min(ReservedDescriptors, Limits.MaxDescriptors / MaxReservedParts);
--- a/libs/gateway/src/rollout_task.cpp
+++ b/libs/gateway/src/rollout_task.cpp
@@ -93,7 +93,7 @@
        mesh_store &Store, serving_task &Serving)
       : Context(Context), Node(std::move(Node)),
         NodeAddress(std::move(NodeAddress)), Store(Store), Serving(Serving),
-        Peers(Context.Loop, {}, {}),
+        Peers(Context.Loop, {}, {}, &Context.Memory),
         EvaluationTimer(Context.Loop, [this] { evaluate(); }),
         EvidenceTimeoutTimer(Context.Loop, [this] { onEvidenceTimeout(); }),
         EvidenceIncarnation(Context.Gen() & UINT32_MAX) {}
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -95,7 +95,8 @@
 
   impl(task_context Context, double LinkBytesPerSecond,
        http1::link_pacer &Pacer)
-      : Context(Context), Pacer(Pacer), Pool(Context.Loop, ResponseLimits, {}),
+      : Context(Context), Pacer(Pacer),
+        Pool(Context.Loop, ResponseLimits, {}, &Context.Memory),
         AdmissionTimer(Context.Loop, [this] { advance(); }),
         ProbeTimer(Context.Loop, [this] { probe(); }),
         ProbeTimeoutTimer(Context.Loop, [this] { onProbeTimeout(); }),
@@ -153,6 +154,17 @@
     advance();
   }
 
+  /// Lets the other node read from the response that its call was not run.
+  void decorateRefusal(http1::response &Response) const {
+    constexpr int Unavailable = 503;
+    if (Response.Status == Unavailable)
+      Response = encodeServingResult({serving_outcome::Refused,
+                                      {},
+                                      "node-out-of-memory",
+                                      false,
+                                      Admission.report(now())});
+  }
+
   std::size_t expectedResponseBytes(const route_name &Route) const {
     auto Found = AverageResponseBytes.find(Route);
     return Found == AverageResponseBytes.end() ? 0 : std::size_t(Found->second);
@@ -541,6 +553,11 @@
       [Self = Impl.get()](std::shared_ptr<http1::exchange> Exchange) {
         Self->onRequest(std::move(Exchange));
       });
+  Impl->Listener->setRefusalDecorator(
+      [Self = Impl.get()](http1::response &Response) {
+        Self->decorateRefusal(Response);
+      });
+  Impl->Listener->setMemoryGuard(Impl->Context.Memory);
   Impl->Listener->setPacer(Impl->Pacer);
   return Impl->Listener->listen(At, {});
 }
--- a/libs/gateway/src/usage_task.cpp
+++ b/libs/gateway/src/usage_task.cpp
@@ -82,7 +82,8 @@
       : Context(Context), Node(std::move(NodeName)), Terms(Terms), Store(Store),
         Accounting(Accounting), Counter(Node, Context.Gen(), Terms, wallNow()),
         Lease(Node, std::move(NodeAddress), leaseTimesFor(Terms)),
-        Pool(Context.Loop, {}, {}), StepTimer(Context.Loop, [this] { step(); }),
+        Pool(Context.Loop, {}, {}, &Context.Memory),
+        StepTimer(Context.Loop, [this] { step(); }),
         CollectorTimer(Context.Loop, [this] { onCollectorTimeout(); }) {}
 
   steady_time now() const { return Context.Clock.steadyNow(); }
--- a/libs/gateway/tests/process_limits_test.cpp
+++ b/libs/gateway/tests/process_limits_test.cpp
@@ -29,3 +29,11 @@
   CHECK(Limits.Nodes >= 500);
   CHECK(Limits.Calls >= 500);
 }
+
+// Guards against messages that take the memory which the program itself needs.
+TEST(ProcessLimits, MessagesLeaveMemory) {
+  constexpr std::size_t Megabyte = 1UL << 20;
+  process_limits Smallest{.MemoryBytes = 160 * Megabyte};
+  CHECK(maxMessageBytes(Smallest) <= 120 * Megabyte);
+  CHECK(maxMessageBytes(Smallest) >= 100 * Megabyte);
+}
--- a/libs/gateway/tests/serving_task_test.cpp
+++ b/libs/gateway/tests/serving_task_test.cpp
@@ -1,4 +1,5 @@
 #include "gentianlug/gateway/serving_task.h"
+#include "gentianlug/http1/client_pool.h"
 #include "task_fixture.h"
 
 using namespace gentianlug;
@@ -58,6 +59,38 @@
   }
 };
 
+// Guards against a call that counts as one that may have run, although its node
+// had no memory for it and the call can be sent to another one.
+TEST(ServingTask, CallsWithoutMemoryAreRefusedToOtherNodes) {
+  http1::memory_guard Small(64UL << 10);
+  task_context Context{Loop,
+                       Environment.Clock,
+                       Environment.Dialect,
+                       Environment.Log,
+                       Environment.Metrics,
+                       Environment.Gen,
+                       Small};
+  serving_task Limited(Context, 0, Pacer);
+  address Listener{"127.0.0.1", freePort()};
+  CHECK(bool(Limited.listen(Listener, 10)));
+  http1::client_pool Node(Loop, {}, {});
+  http1::request Request;
+  Request.Method = "POST";
+  Request.Target = "/";
+  Request.Headers.add("Host", "h");
+  Request.Body = std::string(100000, 'x');
+  peer_call Call;
+  Call.Instance = "i";
+  writePeerCall(Request, Call);
+  Node.send(Listener, Request, {}, [&](http1::send_result Sent) {
+    Result = decodeServingResult(std::move(Sent.Response));
+  });
+  runUntil(Loop, [&] { return Result.has_value(); });
+  CHECK(Result->Outcome == serving_outcome::Refused);
+  STRCMP_EQUAL("node-out-of-memory", Result->Reason.c_str());
+  CHECK(ServerCalls.empty());
+}
+
 // Guards against calls of callers that are taken for nested ones: all calls
 // then had the highest priority.
 TEST(ServingTask, NestedCallsAreRecognizedByTheRunningCall) {
--- a/libs/gateway/tests/task_fixture.h
+++ b/libs/gateway/tests/task_fixture.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLUG_GATEWAY_TESTS_TASK_FIXTURE_H
 #define GENTIANLUG_GATEWAY_TESTS_TASK_FIXTURE_H
 
+#include "gentianlug/gateway/process_limits.h"
 #include "gentianlug/gateway/task_context.h"
 #include "loop_fixture.h"
 
@@ -65,9 +66,12 @@
   generator Gen{1};
   int NullFd = open("/dev/null", O_WRONLY);
   event_log Log{NullFd, "test"};
+  http1::memory_guard Memory{maxMessageBytes({})};
 
   ~task_environment() { close(NullFd); }
-  task_context context() { return {Loop, Clock, Dialect, Log, Metrics, Gen}; }
+  task_context context() {
+    return {Loop, Clock, Dialect, Log, Metrics, Gen, Memory};
+  }
 };
 
 } // namespace gentianlug::gateway
--- a/libs/http1/include/gentianlug/http1/client_pool.h
+++ b/libs/http1/include/gentianlug/http1/client_pool.h
@@ -2,6 +2,7 @@
 #define GENTIANLUG_HTTP1_CLIENT_POOL_H
 
 #include "gentianlug/core/address.h"
+#include "gentianlug/http1/memory_guard.h"
 #include "gentianlug/http1/message_reader.h"
 #include "gentianlug/http1/socket_options.h"
 #include "gentianlug/net/event_loop.h"
@@ -53,8 +54,10 @@
   using ticket = std::uint64_t;
   using callback = std::function<void(send_result)>;
 
+  /// \param Memory counts the responses that are being received; may be null.
+  /// A response for which there is no memory is malformed.
   client_pool(net::event_loop &Loop, message_limits Limits,
-              socket_options SocketOptions);
+              socket_options SocketOptions, memory_guard *Memory = nullptr);
   ~client_pool();
 
   /// Sends \p Request and calls \p OnComplete once with the result, in a later
--- a/libs/http1/include/gentianlug/http1/server.h
+++ b/libs/http1/include/gentianlug/http1/server.h
@@ -4,6 +4,7 @@
 #include "gentianlug/core/address.h"
 #include "gentianlug/core/result.h"
 #include "gentianlug/http1/link_pacer.h"
+#include "gentianlug/http1/memory_guard.h"
 #include "gentianlug/http1/message_reader.h"
 #include "gentianlug/http1/socket_options.h"
 #include "gentianlug/net/event_loop.h"
@@ -57,6 +58,9 @@
   using refusal_observer =
       std::function<void(const address &Client, int Status)>;
 
+  /// Adds header fields to the response to such a request.
+  using refusal_decorator = std::function<void(response &Response)>;
+
   server(net::event_loop &Loop, server_limits Limits, handler Handler);
   ~server();
 
@@ -66,7 +70,13 @@
   /// Paces the responses on connections accepted after this call by \p Pacer,
   /// which must outlive the server.
   void setPacer(link_pacer &Pacer);
+  /// Counts the requests and responses of connections accepted after this call
+  /// by \p Guard, which must outlive the server. A request for which there is
+  /// no memory gets status 503; a connection whose client does not read its
+  /// responses is closed if their memory is needed.
+  void setMemoryGuard(memory_guard &Guard);
   void setRefusalObserver(refusal_observer Observer);
+  void setRefusalDecorator(refusal_decorator Decorator);
   /// From now on, the last pending response of each connection carries
   /// `Connection: close`, and the connection is closed after it. Idle
   /// connections stay open until their next response or `closeIdle`.
--- a/libs/http1/src/client_pool.cpp
+++ b/libs/http1/src/client_pool.cpp
@@ -45,17 +45,20 @@
 public:
   using connection_callback = std::function<void(pooled_connection &)>;
 
-  pooled_connection(net::event_loop &Loop, address To, message_limits Limits)
+  pooled_connection(net::event_loop &Loop, address To, message_limits Limits,
+                    memory_guard *Memory)
       : Loop(Loop), To(std::move(To)),
         Socket(Loop, {.Connected = [this] { onConnected(); },
                       .Readable = [this] { onReadable(); },
                       .Closed = [this](bool Orderly) { onClosed(Orderly); }}),
-        Reader(message_kind::Response, Limits) {}
+        Reader(message_kind::Response, Limits),
+        ReceivedBytes(Memory, memory::holder_kind::Response) {}
 
   net::event_loop &Loop;
   address To;
   detail::stream_socket Socket;
   message_reader Reader;
+  memory_holding ReceivedBytes;
   client_pool::callback OnComplete;
   client_pool::ticket Ticket = 0;
   std::optional<net::timer> ConnectTimer;
@@ -99,6 +102,7 @@
     auto Self = shared_from_this();
     ConnectTimer.reset();
     Socket.close();
+    ReceivedBytes = {};
     if (auto Callback = std::exchange(OnClose, nullptr))
       Callback(*this);
     // Callbacks of the socket may still be on the stack.
@@ -114,6 +118,7 @@
   void complete(send_outcome Outcome, response Response) {
     auto Self = shared_from_this();
     auto Callback = std::exchange(OnComplete, nullptr);
+    ReceivedBytes.resize(0);
     bool Reused = std::exchange(Used, true);
     if (Socket.isOpen() && Reusable && OnIdle)
       OnIdle(*this);
@@ -144,8 +149,9 @@
       const auto *Bytes =
           reinterpret_cast<const char *>(evbuffer_pullup(Input, ssize_t(Size)));
       evbuffer_drain(Input, Reader.feed({Bytes, Size}));
-      bool TooMuch =
-          Reader.state() == reader_state::Body && OnBodyGrown && !OnBodyGrown();
+      bool TooMuch = !ReceivedBytes.resize(Reader.heldBytes()) ||
+                     (Reader.state() == reader_state::Body && OnBodyGrown &&
+                      !OnBodyGrown());
       if (Reader.state() == reader_state::Failed || TooMuch) {
         Reusable = false;
         return complete(send_outcome::Malformed, {});
@@ -200,6 +206,7 @@
   net::event_loop &Loop;
   message_limits Limits;
   socket_options SocketOptions;
+  memory_guard *Memory;
   ticket LastTicket = 0;
   std::uint64_t Opened = 0;
   std::unordered_map<ticket, std::shared_ptr<pooled_connection>> Active;
@@ -208,9 +215,9 @@
   net::timer IdleTimer;
 
   impl(net::event_loop &Loop, message_limits Limits,
-       socket_options SocketOptions)
+       socket_options SocketOptions, memory_guard *Memory)
       : Loop(Loop), Limits(Limits), SocketOptions(SocketOptions),
-        IdleTimer(Loop, [this] { closeExpired(); }) {
+        Memory(Memory), IdleTimer(Loop, [this] { closeExpired(); }) {
     IdleTimer.startEvery(IdleCheckPeriod);
   }
 
@@ -235,7 +242,8 @@
   }
 
   std::shared_ptr<pooled_connection> open(const address &To) {
-    auto NewConnection = std::make_shared<pooled_connection>(Loop, To, Limits);
+    auto NewConnection =
+        std::make_shared<pooled_connection>(Loop, To, Limits, Memory);
     std::weak_ptr<impl> Weak = weak_from_this();
     NewConnection->OnIdle = [Weak](pooled_connection &Connection) {
       if (auto Self = Weak.lock())
@@ -304,8 +312,8 @@
 };
 
 client_pool::client_pool(net::event_loop &Loop, message_limits Limits,
-                         socket_options SocketOptions)
-    : Impl(std::make_shared<impl>(Loop, Limits, SocketOptions)) {}
+                         socket_options SocketOptions, memory_guard *Memory)
+    : Impl(std::make_shared<impl>(Loop, Limits, SocketOptions, Memory)) {}
 
 client_pool::~client_pool() = default;
 
--- a/libs/http1/src/detail/server_connection.cpp
+++ b/libs/http1/src/detail/server_connection.cpp
@@ -10,6 +10,28 @@
 static constexpr std::chrono::seconds LingerTimeout{2};
 /// Number of unsent bytes from which on a connection is not read.
 static constexpr std::size_t MaxUnsentBytes = 4UL << 20;
+/// Memory of a call besides its request: its state in the tasks of the node.
+static constexpr std::size_t CallStateBytes = 4UL << 10;
+/// The fields of a request are held twice, by the exchange and for the attempt
+/// that waits for a server.
+static constexpr std::size_t CopiesOfFields = 2;
+
+static constexpr int BadRequest = 400;
+static constexpr int RequestTimeout = 408;
+static constexpr int ContentTooLarge = 413;
+static constexpr int HeadTooLarge = 431;
+static constexpr int Unavailable = 503;
+
+static int statusOf(reader_fault Fault) {
+  switch (Fault) {
+  case reader_fault::HeadTooLarge:
+    return HeadTooLarge;
+  case reader_fault::BodyTooLarge:
+    return ContentTooLarge;
+  default:
+    return BadRequest;
+  }
+}
 
 server_exchange::server_exchange(std::weak_ptr<server_connection> Connection,
                                  request Request, server_state &Server,
@@ -19,6 +41,24 @@
   ++Server.PendingRequests;
 }
 
+bool server_exchange::countCall() {
+  HeldBytes = memory_holding(Server.Memory, memory::holder_kind::Call);
+  return HeldBytes.resize(CallStateBytes + Request.Target.size() +
+                          CopiesOfFields * Request.Headers.heldBytes() +
+                          Request.Body.size());
+}
+
+void server_exchange::countResponse() {
+  Request.Headers = {};
+  Request.Body = {};
+  HeldBytes = memory_holding(Server.Memory, memory::holder_kind::Delivery,
+                             [Weak = Connection] {
+                               if (auto Owner = Weak.lock())
+                                 Owner->closeLater();
+                             });
+  HeldBytes.resize(Response->Headers.heldBytes() + Response->Body.size());
+}
+
 void server_exchange::finish() {
   if (Finished)
     return;
@@ -32,6 +72,7 @@
     return;
   finish();
   Response = std::move(NewResponse);
+  countResponse();
   if (auto Owner = Connection.lock())
     Owner->sendReadyResponses();
 }
@@ -55,6 +96,7 @@
     return;
   auto Callback = std::move(OnDisconnect);
   finish();
+  HeldBytes = {};
   if (Callback)
     Callback();
 }
@@ -66,9 +108,17 @@
              {.Connected = nullptr,
               .Readable = [this] { readRequests(); },
               .Closed = [this](bool) { onClosed(); },
-              .Sent = [this] { updateReading(); }},
+              .Sent =
+                  [this] {
+                    countUnsentBytes();
+                    updateReading();
+                  }},
              Server.Pacer),
       Reader(message_kind::Request, Server.Limits.Message),
+      ReceivedBytes(Server.Memory, memory::holder_kind::Request,
+                    [this] { refuseForMemory(); }),
+      UnsentBytes(Server.Memory, memory::holder_kind::Delivery,
+                  [this] { closeLater(); }),
       LastActivity(std::chrono::steady_clock::now()) {}
 
 void server_connection::start(int Fd, const socket_options &Options) {
@@ -80,6 +130,7 @@
   auto HasExpired = [&](const std::optional<time_point> &Since, auto Timeout) {
     return Since && Now - *Since > Timeout;
   };
+  countUnsentBytes();
   std::size_t Unsent = Socket.unsentBytes();
   if (ClosingSince && Unsent < std::exchange(LastUnsentBytes, Unsent))
     ClosingSince = Now;
@@ -87,7 +138,6 @@
     return closeAndNotify();
   if (ClosingSince)
     return;
-  constexpr int RequestTimeout = 408;
   if (HasExpired(HeadStart, Server.Limits.HeadTimeout))
     return refuse(RequestTimeout);
   if (Exchanges.empty() && !HeadStart && !Socket.hasUnsentBytes() &&
@@ -108,6 +158,14 @@
   return LastActivity;
 }
 
+void server_connection::closeLater() {
+  Server.Loop.defer([Weak = weak_from_this()] {
+    auto Self = Weak.lock();
+    if (Self && Self->Socket.isOpen())
+      Self->closeAndNotify();
+  });
+}
+
 void server_connection::closeAndNotify() {
   Socket.close();
   onClosed();
@@ -138,12 +196,11 @@
       continue;
     }
     if (Reader.state() == reader_state::Failed) {
-      constexpr int BadRequest = 400;
-      constexpr int ContentTooLarge = 413;
-      constexpr int HeadTooLarge = 431;
-      refuse(Reader.fault() == reader_fault::HeadTooLarge   ? HeadTooLarge
-             : Reader.fault() == reader_fault::BodyTooLarge ? ContentTooLarge
-                                                            : BadRequest);
+      refuse(statusOf(Reader.fault()));
+      break;
+    }
+    if (!countReceivedBytes()) {
+      refuseForMemory();
       break;
     }
     if (Reader.state() == reader_state::Head && !HeadStart)
@@ -159,18 +216,40 @@
     }
   }
   Dispatching = false;
+  if (!LastRequestSeen && !countReceivedBytes())
+    refuseForMemory();
   sendReadyResponses();
 }
 
+bool server_connection::countReceivedBytes() {
+  return ReceivedBytes.resize(Reader.heldBytes() +
+                              evbuffer_get_length(Socket.input()));
+}
+
+void server_connection::countUnsentBytes() {
+  UnsentBytes.resize(Socket.unsentBytes());
+}
+
+void server_connection::discardInput() {
+  evbuffer *Input = Socket.input();
+  evbuffer_drain(Input, evbuffer_get_length(Input));
+  Reader.discard();
+  ReceivedBytes.resize(0);
+}
+
 void server_connection::dispatch(request Request) {
   if (!Request.KeepAlive)
     LastRequestSeen = true;
-  if (Request.Headers.count("host") != 1) {
-    constexpr int BadRequest = 400;
+  if (Request.Headers.count("host") != 1)
     return refuse(BadRequest);
-  }
   auto Exchange = std::make_shared<server_exchange>(
       weak_from_this(), std::move(Request), Server, Client);
+  // The bytes of the request are counted for its call from now on.
+  countReceivedBytes();
+  if (!Exchange->countCall()) {
+    Exchange->finish();
+    return refuse(Unavailable);
+  }
   Exchanges.push_back(Exchange);
   Server.Handler(Exchange);
 }
@@ -183,7 +262,17 @@
   auto Exchange = std::make_shared<server_exchange>(weak_from_this(), request{},
                                                     Server, Client);
   Exchanges.push_back(Exchange);
-  Exchange->respond(makeStatusResponse(Status));
+  response Response = makeStatusResponse(Status);
+  if (Server.DecorateRefusal)
+    Server.DecorateRefusal(Response);
+  Exchange->respond(std::move(Response));
+}
+
+void server_connection::refuseForMemory() {
+  if (LastRequestSeen)
+    return;
+  refuse(Unavailable);
+  discardInput();
 }
 
 void server_connection::sendReadyResponses() {
@@ -203,14 +292,19 @@
       Socket.write(encodeHead(*Exchange->Response, !Last));
       Socket.write(Exchange->Response->Body);
     }
+    // From here on the response is counted with the unsent bytes.
+    Exchange->Response.reset();
+    Exchange->HeldBytes = {};
     LastActivity = std::chrono::steady_clock::now();
     if (Last) {
       ClosingSince = LastActivity;
       LastUnsentBytes = Socket.unsentBytes();
+      countUnsentBytes();
       Socket.shutdownAfterSending();
       return;
     }
   }
+  countUnsentBytes();
   updateReading();
 }
 
@@ -230,6 +324,8 @@
 
 void server_connection::onClosed() {
   auto Self = shared_from_this();
+  ReceivedBytes = {};
+  UnsentBytes = {};
   for (auto &Exchange : std::exchange(Exchanges, {}))
     Exchange->notifyDisconnect();
   if (auto Callback = std::exchange(OnClose, nullptr))
--- a/libs/http1/src/detail/server_connection.h
+++ b/libs/http1/src/detail/server_connection.h
@@ -2,6 +2,7 @@
 #define GENTIANLUG_HTTP1_DETAIL_SERVER_CONNECTION_H
 
 #include "detail/stream_socket.h"
+#include "gentianlug/http1/memory_guard.h"
 #include "gentianlug/http1/server.h"
 
 #include <deque>
@@ -17,7 +18,9 @@
   server_limits Limits;
   server::handler Handler;
   server::refusal_observer OnRefusal;
+  server::refusal_decorator DecorateRefusal;
   link_pacer *Pacer = nullptr;
+  memory_guard *Memory = nullptr;
   bool Draining = false;
   std::size_t PendingRequests = 0;
 };
@@ -38,6 +41,8 @@
   void closeIfIdle();
   /// Closes the connection and notifies the pending requests.
   void closeAndNotify();
+  /// The same in the next iteration of the event loop.
+  void closeLater();
   /// Returns since when the client has neither sent nor received anything, if
   /// no request of it is in progress.
   std::optional<time_point> idleSince() const;
@@ -50,14 +55,24 @@
   bool feedReader();
   void dispatch(request Request);
   void refuse(int Status);
+  /// Refuses the request that is being received, because there is no memory.
+  void refuseForMemory();
+  void discardInput();
   void sendReadyResponses();
   void onClosed();
   void updateReading();
+  /// Counts the bytes that have been received of an incomplete request.
+  ///
+  /// \returns whether there is memory for them.
+  bool countReceivedBytes();
+  void countUnsentBytes();
 
   server_state &Server;
   std::function<void(server_connection *)> OnClose;
   stream_socket Socket;
   message_reader Reader;
+  memory_holding ReceivedBytes;
+  memory_holding UnsentBytes;
   std::deque<std::shared_ptr<server_exchange>> Exchanges;
   address Client;
   time_point LastActivity;
@@ -89,6 +104,12 @@
 private:
   friend class server_connection;
 
+  /// Counts the request for the time of its call.
+  ///
+  /// \returns whether there is memory for it.
+  bool countCall();
+  /// Gives up the request and counts the response until it is sent.
+  void countResponse();
   void finish();
   void notifyDisconnect();
 
@@ -97,6 +118,7 @@
   server_state &Server;
   address Client;
   std::optional<response> Response;
+  memory_holding HeldBytes;
   std::function<void()> OnDisconnect;
   bool Finished = false;
   bool Abandoned = false;
--- a/libs/http1/src/server.cpp
+++ b/libs/http1/src/server.cpp
@@ -128,6 +128,14 @@
   Impl->State.OnRefusal = std::move(Observer);
 }
 
+void server::setRefusalDecorator(refusal_decorator Decorator) {
+  Impl->State.DecorateRefusal = std::move(Decorator);
+}
+
+void server::setMemoryGuard(memory_guard &Guard) {
+  Impl->State.Memory = &Guard;
+}
+
 void server::setPacer(link_pacer &Pacer) { Impl->State.Pacer = &Pacer; }
 
 void server::startDraining() { Impl->State.Draining = true; }
--- a/libs/http1/tests/client_pool_test.cpp
+++ b/libs/http1/tests/client_pool_test.cpp
@@ -387,6 +387,26 @@
                          "X: y\r\n") < SocketBufferBytes);
 }
 
+// Guards against responses that exceed the memory which they share with other
+// messages of the process.
+TEST(EndlessResponse, MemoryOfTheProcessEndsTheConnection) {
+  memory_guard Memory(MaxBodyBytes / 2);
+  client_pool Guarded(Loop, {}, {}, &Memory);
+  request Request;
+  Request.Method = "GET";
+  Request.Target = "/";
+  Guarded.send(Peer.Address, Request, {},
+               [this](send_result Result) { Results.push_back(Result); });
+  runUntil(Loop, [&] { return Peer.requests() == 1; });
+  Peer.respond(0, "HTTP/1.1 200 OK\r\n\r\n");
+  runUntil(Loop, [&] {
+    Peer.respondEndlessly(std::string(1000, 'x'));
+    return !Results.empty();
+  });
+  CHECK(Results[0].Outcome == send_outcome::Malformed);
+  UNSIGNED_LONGS_EQUAL(0, Memory.budget().heldBytes());
+}
+
 // Guards against many servers that exhaust the memory together: each response
 // is within its limit.
 TEST(EndlessResponse, ConcurrentResponsesShareALimit) {
--- a/libs/http1/tests/server_test.cpp
+++ b/libs/http1/tests/server_test.cpp
@@ -202,6 +202,125 @@
   runUntil(Loop, [&] { return Busy.hasReceived("busy"); });
 }
 
+TEST_GROUP(ServerMemory) {
+  static constexpr std::size_t TotalBytes = 1UL << 20;
+  net::event_loop Loop;
+  memory_guard Memory{TotalBytes};
+  std::uint16_t Port = freePort();
+  std::vector<std::shared_ptr<exchange>> Requests;
+  std::vector<int> RefusedStatuses;
+  server Server{Loop, {}, [this](std::shared_ptr<exchange> Exchange) {
+                  Requests.push_back(Exchange);
+                }};
+
+  void setup() override {
+    Server.setMemoryGuard(Memory);
+    Server.setRefusalObserver([this](const address &, int Status) {
+      RefusedStatuses.push_back(Status);
+    });
+    Server.setRefusalDecorator([](response &Response) {
+      Response.Headers.add("Why", std::to_string(Response.Status));
+    });
+    CHECK(bool(Server.listen({"127.0.0.1", Port}, {})));
+  }
+  void teardown() override { Requests.clear(); }
+  static std::string upload(std::size_t Bytes, std::size_t SentBytes) {
+    return "POST /upload HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+           std::to_string(Bytes) + "\r\n\r\n" + std::string(SentBytes, 'u');
+  }
+  std::size_t held(memory::holder_kind Kind) const {
+    return Memory.budget().heldBytes(Kind);
+  }
+};
+
+// Guards against unfinished requests that hold more than the process may use.
+TEST(ServerMemory, RefusesRequestsBeyondTheBudget) {
+  constexpr std::size_t Bytes = 400000;
+  byte_client First(Port);
+  First.send(upload(Bytes, Bytes - 1));
+  runUntil(Loop,
+           [&] { return held(memory::holder_kind::Request) >= Bytes - 1; });
+  byte_client Second(Port);
+  Second.send(upload(Bytes, Bytes));
+  runUntil(Loop, [&] { return Second.hasReceived("HTTP/1.1 503 "); });
+  CHECK(Second.hasReceived("Why: 503"));
+  CHECK(Requests.empty());
+  CHECK(RefusedStatuses == std::vector<int>{503});
+  CHECK(Memory.budget().heldBytes() <= TotalBytes);
+}
+
+// Guards against a request that cannot come in because others have stopped
+// short of their end.
+TEST(ServerMemory, StoppedRequestGivesWay) {
+  constexpr std::size_t Bytes = 400000;
+  byte_client Stopped(Port);
+  Stopped.send(upload(Bytes, Bytes - 1));
+  runUntil(Loop,
+           [&] { return held(memory::holder_kind::Request) >= Bytes - 1; });
+  auto Since = std::chrono::steady_clock::now();
+  runUntil(Loop, [&] {
+    return std::chrono::steady_clock::now() - Since >
+           memory::memory_budget::RequestStallTime;
+  });
+  byte_client Next(Port);
+  Next.send(upload(Bytes, Bytes));
+  runUntil(Loop, [&] { return Requests.size() == 1; });
+  runUntil(Loop, [&] { return Stopped.hasReceived("HTTP/1.1 503 "); });
+  UNSIGNED_LONGS_EQUAL(Bytes, Requests[0]->receivedRequest().Body.size());
+}
+
+// Guards against the refusal of a request behind others on its connection,
+// which must not lose the responses to them.
+TEST(ServerMemory, RefusalKeepsEarlierResponses) {
+  byte_client Client(Port);
+  Client.send(get("/1") + upload(900000, 800000));
+  runUntil(Loop, [&] { return !RefusedStatuses.empty(); });
+  UNSIGNED_LONGS_EQUAL(1, Requests.size());
+  Requests[0]->respond(textResponse("one"));
+  runUntil(Loop, [&] { return Client.hasReceived("HTTP/1.1 503 "); });
+  CHECK(Client.Received.find("one") < Client.Received.find("HTTP/1.1 503 "));
+}
+
+// Guards against an account that keeps bytes of messages that are gone.
+TEST(ServerMemory, HoldsNothingAfterTheLastResponse) {
+  {
+    byte_client Client(Port);
+    Client.send(get("/1") + upload(100000, 100000) + get("/2"));
+    runUntil(Loop, [&] { return Requests.size() == 3; });
+    CHECK(held(memory::holder_kind::Call) > 100000);
+    for (auto &Exchange : Requests)
+      Exchange->respond(textResponse("done"));
+    runUntil(Loop, [&] {
+      Client.receive();
+      return Memory.budget().heldBytes() == 0;
+    });
+    Client.send(upload(1000, 500));
+    runUntil(Loop, [&] { return Memory.budget().heldBytes() > 0; });
+  }
+  runUntil(Loop, [&] { return Memory.budget().heldBytes() == 0; });
+}
+
+// Guards against responses that are kept for a client that does not read.
+TEST(ServerMemory, UnreadResponsesGiveWay) {
+  byte_client Unread(Port);
+  Unread.send(get("/1"));
+  runUntil(Loop, [&] { return Requests.size() == 1; });
+  // More than the kernel takes.
+  constexpr std::size_t Bytes = 16UL << 20;
+  Requests[0]->respond(textResponse(std::string(Bytes, 'x')));
+  auto Since = std::chrono::steady_clock::now();
+  runUntil(Loop, [&] {
+    return std::chrono::steady_clock::now() - Since >
+           memory::memory_budget::DeliveryStallTime + std::chrono::seconds(1);
+  });
+  byte_client Next(Port);
+  Next.send(get("/2"));
+  runUntil(Loop, [&] { return Requests.size() == 2; });
+  Requests[1]->respond(textResponse("two"));
+  runUntil(Loop, [&] { return Next.hasReceived("two"); });
+  runUntil(Loop, [&] { return Memory.budget().heldBytes() == 0; });
+}
+
 TEST_GROUP(PacedServer) {
   static constexpr double BytesPerSecond = 1e6;
   net::event_loop Loop;
