Discard bytes after the last request of a connection

What callers see: a client that announces its last request and goes on sending while the call runs fills the memory of the node.

Cause: after a request with "Connection: close", or a refused one, nothing is parsed any more, but the connection was still read, to notice its end, and what came stayed in the input buffer until the response was sent.

Change: such bytes are discarded as they come.

--- a/libs/http1/src/detail/server_connection.cpp
+++ b/libs/http1/src/detail/server_connection.cpp
@@ -216,7 +216,9 @@
     }
   }
   Dispatching = false;
-  if (!LastRequestSeen && !countReceivedBytes())
+  if (LastRequestSeen)
+    discardInput();
+  else if (!countReceivedBytes())
     refuseForMemory();
   sendReadyResponses();
 }
