Evict unread responses before requests that are still received

Cause: found on reading. A response that needed room evicted requests that were still received before responses that nobody reads, also where the few bytes of such requests could not make room. A head that took too long kept its bytes until its connection was closed.

Change: the order is stalled requests, unread deliveries, then other requests; every refusal discards what the connection has sent.

Measured: MemoryBudget.UnreadDeliveriesGiveWayBeforeReceivedRequests is new; it was not run on the old order.

--- a/libs/http1/src/detail/server_connection.cpp
+++ b/libs/http1/src/detail/server_connection.cpp
@@ -259,6 +259,7 @@
 void server_connection::refuse(int Status) {
   HeadStart.reset();
   LastRequestSeen = true;
+  discardInput();
   if (Server.OnRefusal)
     Server.OnRefusal(Client, Status);
   auto Exchange = std::make_shared<server_exchange>(weak_from_this(), request{},
@@ -271,10 +272,8 @@
 }
 
 void server_connection::refuseForMemory() {
-  if (LastRequestSeen)
-    return;
-  refuse(Unavailable);
-  discardInput();
+  if (!LastRequestSeen)
+    refuse(Unavailable);
 }
 
 void server_connection::sendReadyResponses() {
--- a/libs/memory/include/gentianlug/memory/memory_budget.h
+++ b/libs/memory/include/gentianlug/memory/memory_budget.h
@@ -45,8 +45,8 @@
 /// responses to calls that servers have already run. Large requests may use a
 /// smaller part, so that a crowd of them leaves room for ordinary ones. Where
 /// there is no room, requests that receive nothing give way first, then
-/// responses whose readers take nothing; if there are none, the growth is
-/// refused.
+/// responses whose readers take nothing, and for a response also requests that
+/// are still received; if there are none, the growth is refused.
 class memory_budget {
 public:
   /// Holders up to this size are ordinary, others are large.
--- a/libs/memory/src/memory_budget.cpp
+++ b/libs/memory/src/memory_budget.cpp
@@ -120,16 +120,16 @@
   }
 
   /// Returns the request to evict next for the holder \p For, or 0.
+  ///
+  /// \param MinStallTime time without progress from which on it may be evicted.
   holder_id nextRequestToEvict(holder_id For, const holder &Holder,
+                               std::chrono::milliseconds MinStallTime,
                                steady_time Now) const {
-    // The response to a call that a server has run goes before requests that
-    // may be sent again.
-    bool OnlyStalled = isRequest(Holder.Kind);
     bool OnlyLarge = isLarge(Holder.Kind, Holder.Bytes) &&
                      exceedsLargeRequestShare() && !exceedsTotal() &&
                      !exceedsRequestShare();
     for (const auto &[ProgressAt, Id] : Requests) {
-      if (OnlyStalled && Now - ProgressAt < RequestStallTime)
+      if (Now - ProgressAt < MinStallTime)
         return 0;
       const holder &Candidate = Holders.at(Id);
       if (Id != For && (!OnlyLarge || isLarge(Candidate.Kind, Candidate.Bytes)))
@@ -151,13 +151,26 @@
     return 0;
   }
 
+  /// Returns the holder to evict next for the holder \p For, or 0.
+  holder_id nextToEvict(holder_id For, const holder &Holder,
+                        steady_time Now) const {
+    if (holder_id Id = nextRequestToEvict(For, Holder, RequestStallTime, Now))
+      return Id;
+    if (holder_id Id = nextDeliveryToEvict(For, Now))
+      return Id;
+    // The response to a call that a server has run goes before requests that
+    // may be sent again.
+    return isRequest(Holder.Kind)
+               ? 0
+               : nextRequestToEvict(For, Holder, std::chrono::milliseconds(0),
+                                    Now);
+  }
+
   /// Evicts holders until there is room for \p Holder or none is left to evict.
   void makeRoom(holder_id Id, const holder &Holder, steady_time Now,
                 std::vector<holder_id> &Evicted) {
     while (isOverLimit(Holder)) {
-      holder_id Victim = nextRequestToEvict(Id, Holder, Now);
-      if (Victim == 0)
-        Victim = nextDeliveryToEvict(Id, Now);
+      holder_id Victim = nextToEvict(Id, Holder, Now);
       if (Victim == 0)
         return;
       setBytes(Victim, Holders.at(Victim), 0);
--- a/libs/memory/tests/memory_budget_test.cpp
+++ b/libs/memory/tests/memory_budget_test.cpp
@@ -138,6 +138,16 @@
   CHECK(Budget.resize(Call, 2 * OrdinaryBytes, Now).Evicted.empty());
 }
 
+// Guards against the refusal of requests that are received where a response
+// that nobody reads can make room.
+TEST(MemoryBudget, UnreadDeliveriesGiveWayBeforeReceivedRequests) {
+  holder_id Unread = hold(holder_kind::Delivery, 60 * Megabyte);
+  Now += memory_budget::DeliveryStallTime;
+  hold(holder_kind::Request, 30 * Megabyte);
+  CHECK(grow(holder_kind::Response, 20 * Megabyte).Evicted ==
+        std::vector<holder_id>{Unread});
+}
+
 // Guards against responses that nobody reads and that keep out the responses of
 // ordinary callers.
 TEST(MemoryBudget, UnreadDeliveriesGiveWay) {
