Do not blame a server for a response that the node had no memory for

What callers see: clients that do not read their responses make a node drop further ones; after three of them it takes its sound server out of use, and it counts them as errors of the server's version, so a good version may be rolled back.

Cause: a response without memory ended like a malformed one.

Change: client_pool tells it apart (NoMemory). The serving task gives no evidence and does not count it; the outcome of the call is unknown, as before. explain-request and the operators' page know the new reasons.

Measured: ServingTask.MissingMemoryIsNoFaultOfTheServer is new; it was not run on the old code.

--- a/libs/gateway/src/peer_transport.cpp
+++ b/libs/gateway/src/peer_transport.cpp
@@ -42,6 +42,8 @@
                        {}});
         case http1::send_outcome::ConnectionLost:
           return Done({serving_outcome::Unknown, {}, "node-lost", false, {}});
+        case http1::send_outcome::NoMemory:
+          return Done({serving_outcome::Unknown, {}, "no-memory", false, {}});
         case http1::send_outcome::Malformed:
           return Done({serving_outcome::Unknown,
                        {},
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -300,6 +300,8 @@
           Ticket,
           {serving_outcome::Refused, {}, "server-unreachable", false, {}});
     }
+    if (Result.Outcome == http1::send_outcome::NoMemory)
+      return onResponseDropped(Ticket, Call);
     if (Result.Outcome != http1::send_outcome::Responded)
       return onResponseLost(Ticket, Call, Result);
     response_class Class = Context.Dialect.classifyResponse(Result.Response);
@@ -383,6 +385,18 @@
           std::int64_t(CallsPerSecond.value_or(0) * MilliCalls)}});
   }
 
+  /// This node had no memory for the response, which says nothing about the
+  /// server and its version.
+  void onResponseDropped(ticket Ticket, const serving_call &Call) {
+    const char *Reason = "no-memory";
+    Context.Log.write(event::CallFailed, {{"call", Call.Call.CallId},
+                                          {"route", Call.Call.Route.str()},
+                                          {"instance", Call.Call.Instance},
+                                          {"reason", Reason}});
+    Admission.finish(Ticket, std::nullopt);
+    complete(Ticket, {serving_outcome::Unknown, {}, Reason, false, {}});
+  }
+
   void onResponseLost(ticket Ticket, const serving_call &Call,
                       const http1::send_result &Result) {
     const char *Reason = Result.Outcome == http1::send_outcome::Malformed
--- a/libs/gateway/tests/serving_task_test.cpp
+++ b/libs/gateway/tests/serving_task_test.cpp
@@ -59,6 +59,27 @@
   }
 };
 
+// Guards against a sound server that is taken out of use, or whose version is
+// rolled back, because the node has no memory for its responses.
+TEST(ServingTask, MissingMemoryIsNoFaultOfTheServer) {
+  std::optional<http1::memory_holding> Filled;
+  Filled.emplace(&Environment.Memory, memory::holder_kind::Delivery);
+  Filled->resize(Environment.Memory.budget().totalBytes());
+  for (int Count = 0; Count < 10; ++Count) {
+    Result.reset();
+    startCall("0123456789");
+    respond(200);
+    CHECK(Result->Outcome == serving_outcome::Unknown);
+    STRCMP_EQUAL("no-memory", Result->Reason.c_str());
+  }
+  CHECK(Serving.evidence().Routes.empty());
+  Filled.reset();
+  Result.reset();
+  startCall("0123456789");
+  respond(200);
+  CHECK(Result->Outcome == serving_outcome::Answered);
+}
+
 // Guards against a call that counts as one that may have run, although its node
 // had no memory for it and the call can be sent to another one.
 TEST(ServingTask, CallsWithoutMemoryAreRefusedToOtherNodes) {
--- a/libs/http1/include/gentianlug/http1/client_pool.h
+++ b/libs/http1/include/gentianlug/http1/client_pool.h
@@ -24,6 +24,9 @@
   ConnectionLost,
   /// The peer sent bytes that are not a valid HTTP response.
   Malformed,
+  /// This process had no memory for the response. The server may have processed
+  /// the request and is not to blame.
+  NoMemory,
 };
 
 struct send_result {
@@ -55,7 +58,7 @@
   using callback = std::function<void(send_result)>;
 
   /// \param Memory counts the responses that are being received; may be null.
-  /// A response for which there is no memory is malformed.
+  /// A response for which it has no memory ends with `NoMemory`.
   client_pool(net::event_loop &Loop, message_limits Limits,
               socket_options SocketOptions, memory_guard *Memory = nullptr);
   ~client_pool();
--- a/libs/http1/src/client_pool.cpp
+++ b/libs/http1/src/client_pool.cpp
@@ -149,9 +149,12 @@
       const auto *Bytes =
           reinterpret_cast<const char *>(evbuffer_pullup(Input, ssize_t(Size)));
       evbuffer_drain(Input, Reader.feed({Bytes, Size}));
-      bool TooMuch = !ReceivedBytes.resize(Reader.heldBytes()) ||
-                     (Reader.state() == reader_state::Body && OnBodyGrown &&
-                      !OnBodyGrown());
+      if (!ReceivedBytes.resize(Reader.heldBytes())) {
+        Reusable = false;
+        return complete(send_outcome::NoMemory, {});
+      }
+      bool TooMuch =
+          Reader.state() == reader_state::Body && OnBodyGrown && !OnBodyGrown();
       if (Reader.state() == reader_state::Failed || TooMuch) {
         Reusable = false;
         return complete(send_outcome::Malformed, {});
--- a/libs/operator/src/request_trace.cpp
+++ b/libs/operator/src/request_trace.cpp
@@ -38,6 +38,8 @@
     {"malformed-peer-answer", "the other node sent a malformed response"},
     {"no-configuration",
      "the node had not received a configuration since its start"},
+    {"no-memory",
+     "the node had no memory for the response; the call may have run"},
     {"no-route", "no route of the configuration in force matches the request"},
     {"no-server", "no further server was left to ask"},
     {"no-version", "no version of the service is known to be allowed"},
@@ -45,6 +47,7 @@
     {"node-lost",
      "the connection to the other node was closed before its response; "
      "the call may have run"},
+    {"node-out-of-memory", "the node had no memory for the call"},
     {"node-unreachable", "the node could not be reached"},
     {"rate-limited",
      "the server had named a limit of calls per second, which was reached"},
