Bound the unfinished requests of the listeners on evhttp

What callers see: with the project's own program, gentianlug-node, up to 1,000 connections may each hold a body of 2 MB or a head of 64 kB, whose lines cost evhttp more than 100 bytes each, short of their end. Together they exceed the memory of any VM of the users.

Cause: http_server had limits for each connection only.

Change: MaxUnfinishedBytes, 32 MB a listener, counts the requests that are being received, with 128 bytes for each header line. Beyond it, connections with such requests are closed, those that have been silent for longest first.

Calls in flight and responses of that program are still bounded one by one only.

--- a/libs/http1/tests/message_body_test.cpp
+++ b/libs/http1/tests/message_body_test.cpp
@@ -41,5 +41,7 @@
 TEST(MessageBody, CopiesShareTheirParts) {
   message_body Body(std::string(1000, 'x'));
   message_body Copy = Body;
+  Copy.append("more");
   POINTERS_EQUAL(Body.parts().front().get(), Copy.parts().front().get());
+  UNSIGNED_LONGS_EQUAL(1000, Body.size());
 }
--- a/libs/net/include/gentianlug/net/http_server.h
+++ b/libs/net/include/gentianlug/net/http_server.h
@@ -19,6 +19,9 @@
   std::size_t MaxHeaderBytes = 64 << 10;
   /// A larger body is read and discarded, and the request gets status 413.
   std::size_t MaxBodyBytes = 2 << 20;
+  /// Memory of all unfinished requests together. Beyond it, connections with
+  /// such requests are closed, those that have been silent for longest first.
+  std::size_t MaxUnfinishedBytes = 32 << 20;
   /// Connections beyond this number are closed immediately.
   std::size_t MaxConnections = 1000;
   /// Time allowed from the first byte of a request to the end of its headers.
--- a/libs/net/src/detail/server_connections.cpp
+++ b/libs/net/src/detail/server_connections.cpp
@@ -15,6 +15,9 @@
 /// Period of the check for header timeouts and closed connections.
 static constexpr std::chrono::milliseconds CheckPeriod{250};
 
+/// Memory that evhttp takes for a header line besides its bytes.
+static constexpr std::size_t HeaderLineBytes = 128;
+
 /// Minimum time between two scans for closed connections.
 static constexpr std::chrono::milliseconds MinReleaseInterval{10};
 
@@ -77,6 +80,7 @@
   evhttp_connection *Http = evhttp_request_get_connection(Request);
   bufferevent *Stream = evhttp_connection_get_bufferevent(Http);
   tracked_connection &Connection = *Connections.at(Stream);
+  forgetUnfinished(Connection);
   if (!Connection.Http) {
     Connection.Http = Http;
     evhttp_connection_set_closecb(Http, &onClose, &Connection);
@@ -149,9 +153,41 @@
     return;
   }
   Connection.Owner->scanHeaders(Connection, Buffer, Info->n_added);
+  Connection.Owner->countUnfinished(Connection, Info->n_added);
+}
+
+void server_connections::countUnfinished(tracked_connection &Connection,
+                                         std::size_t Bytes) {
+  Connection.LastInput = Clock.steadyNow();
+  Connection.UnfinishedBytes += Bytes;
+  UnfinishedBytes += Bytes;
+  if (UnfinishedBytes > Limits.MaxUnfinishedBytes)
+    closeSilentRequests();
+}
+
+void server_connections::forgetUnfinished(tracked_connection &Connection) {
+  UnfinishedBytes -= std::exchange(Connection.UnfinishedBytes, 0);
+}
+
+void server_connections::closeSilentRequests() {
+  while (UnfinishedBytes > Limits.MaxUnfinishedBytes) {
+    auto Silent = std::max_element(
+        Connections.begin(), Connections.end(),
+        [](const auto &Left, const auto &Right) {
+          // Connections without an unfinished request come last.
+          bool LeftHolds = Left.second->UnfinishedBytes > 0;
+          bool RightHolds = Right.second->UnfinishedBytes > 0;
+          if (LeftHolds != RightHolds)
+            return RightHolds;
+          return Left.second->LastInput > Right.second->LastInput;
+        });
+    forgetUnfinished(*Silent->second);
+    // evhttp frees the request when it reads the end of the stream.
+    shutdown(bufferevent_getfd(Silent->first), SHUT_RDWR);
+  }
 }
 
-void server_connections::scanHeaders(server_connection &Connection,
+void server_connections::scanHeaders(tracked_connection &Connection,
                                      evbuffer *Buffer, std::size_t Added) {
   if (Connection.Phase == server_connection::phase::Body)
     return;
@@ -173,6 +209,8 @@
         Connection.Phase = server_connection::phase::Body;
         return;
       }
+      if (Byte == '\n')
+        countUnfinished(Connection, HeaderLineBytes);
       if (Byte != '\r')
         Connection.AtLineStart = Byte == '\n';
     }
@@ -219,9 +257,10 @@
 
 void server_connections::releaseClosed() {
   LastRelease = Clock.steadyNow();
-  std::erase_if(Connections, [](const auto &Entry) {
+  std::erase_if(Connections, [this](const auto &Entry) {
     if (!isClosed(Entry.first))
       return false;
+    forgetUnfinished(*Entry.second);
     bufferevent_decref(Entry.first);
     return true;
   });
--- a/libs/net/src/detail/server_connections.h
+++ b/libs/net/src/detail/server_connections.h
@@ -64,8 +64,14 @@
                       void *Argument);
   static void onStreamEvent(bufferevent *Stream, short What, void *Argument);
   static void onClose(evhttp_connection *Http, void *Argument);
-  void scanHeaders(server_connection &Connection, evbuffer *Buffer,
+  struct tracked_connection;
+
+  void scanHeaders(tracked_connection &Connection, evbuffer *Buffer,
                    std::size_t Added);
+  /// Counts bytes of the unfinished request of \p Connection.
+  void countUnfinished(tracked_connection &Connection, std::size_t Bytes);
+  void forgetUnfinished(tracked_connection &Connection);
+  void closeSilentRequests();
   void checkConnections();
   void closeRejected();
   void releaseClosed();
@@ -77,10 +83,15 @@
   timer ReleaseTimer;
   bool ClosingIdle = false;
   steady_time LastRelease{};
+  /// Sum over all connections.
+  std::size_t UnfinishedBytes = 0;
   /// Accepted beyond `MaxConnections`, about to be closed.
   std::vector<bufferevent *> RejectedStreams;
   struct tracked_connection : server_connection {
     server_connections *Owner = nullptr;
+    /// Memory of the request that is being received.
+    std::size_t UnfinishedBytes = 0;
+    steady_time LastInput{};
   };
   std::unordered_map<bufferevent *, std::unique_ptr<tracked_connection>>
       Connections;
--- a/libs/net/tests/limits_test.cpp
+++ b/libs/net/tests/limits_test.cpp
@@ -55,6 +55,51 @@
   CHECK_EQUAL(0, Handled);
 }
 
+// Guards against unfinished requests that exhaust the memory together, each
+// within its limit.
+TEST(limits, ClosesOneOfTooManyUnfinishedRequests) {
+  constexpr std::size_t BodyBytes = 40000;
+  http_server_limits Limits;
+  Limits.MaxUnfinishedBytes = 5 * BodyBytes / 2;
+  http_server Server(Loop, Limits, countingHandler());
+  address Peer = listenOnFreePort(Server);
+  const std::string Unfinished = "POST / HTTP/1.1\r\nHost: h\r\n"
+                                 "Connection: close\r\nContent-Length: 40000"
+                                 "\r\n\r\n" +
+                                 std::string(BodyBytes - 1, 'x');
+  int Closed = 0;
+  runWithClient([&] {
+    raw_client Clients[] = {raw_client(Peer), raw_client(Peer),
+                            raw_client(Peer)};
+    for (raw_client &Client : Clients)
+      Client.send(Unfinished);
+    raw_client::awaitAny(Clients);
+    for (raw_client &Client : Clients) {
+      Client.send("x");
+      Closed += Client.readAll().starts_with("HTTP/1.1 200") ? 0 : 1;
+    }
+  });
+  CHECK_EQUAL(1, Closed);
+  CHECK_EQUAL(2, Handled);
+}
+
+// Guards against heads of many short lines, which cost more than their bytes.
+TEST(limits, CountsTheLinesOfUnfinishedHeads) {
+  http_server_limits Limits;
+  Limits.MaxUnfinishedBytes = 100000;
+  http_server Server(Loop, Limits, countingHandler());
+  address Peer = listenOnFreePort(Server);
+  std::string Head = "GET / HTTP/1.1\r\nHost: h\r\n";
+  for (int Line = 0; Line < 1000; ++Line)
+    Head += "a:\r\n";
+  runWithClient([&] {
+    raw_client Client(Peer);
+    Client.send(Head);
+    CHECK(Client.readAll().empty());
+  });
+  CHECK_EQUAL(0, Handled);
+}
+
 // Guards against clients that exhaust the file descriptors of the process.
 TEST(limits, ClosesConnectionsBeyondLimitAndRecovers) {
   http_server_limits Limits;
--- a/libs/net/tests/raw_client.h
+++ b/libs/net/tests/raw_client.h
@@ -6,12 +6,15 @@
 #include <CppUTest/TestHarness.h>
 #include <arpa/inet.h>
 #include <cerrno>
+#include <poll.h>
+#include <span>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace gentianlug::net {
 
@@ -56,6 +59,16 @@
     return TimedOut ? "timed out after " + Received : Received;
   }
 
+  /// Waits until the peer has sent bytes to one of \p Clients or closed one.
+  static void awaitAny(std::span<const raw_client> Clients) {
+    std::vector<pollfd> Sockets;
+    for (const raw_client &Client : Clients)
+      Sockets.push_back({Client.Socket, POLLIN, 0});
+    // Keeps a failing test from hanging.
+    constexpr int LimitMillis = 20000;
+    poll(Sockets.data(), Sockets.size(), LimitMillis);
+  }
+
 private:
   int Socket;
 };
