--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -5,6 +5,7 @@
 #include "gentianlug/mesh/server_lifecycle.h"
 #include "gentianlug/mesh/version_checks.h"
 #include "gentianlug/net/timer.h"
+#include "memory_report.h"
 
 #include <algorithm>
 
@@ -114,37 +115,11 @@
         [this](std::shared_ptr<http1::exchange> Exchange) {
           Feed.onFollowerPoll(std::move(Exchange));
         });
-    observeMemory();
+    observeMemory(Context);
     if (Settings.Usage && Accounting)
       addUsageTask(*Accounting);
   }
 
-  /// Reports what the shortage of memory does to messages of others.
-  void observeMemory() {
-    Context.Memory.setObserver([this](memory::holder_kind Kind, bool Evicted) {
-      const memory::memory_budget &Budget = Context.Memory.budget();
-      Context.Metrics.count(std::string("memory_refusals_total{held=\"") +
-                            memory::describe(Kind) + "\",evicted=\"" +
-                            (Evicted ? "1" : "0") + "\"}");
-      Context.Log.write(event::MemoryShort,
-                        {{"held", memory::describe(Kind)},
-                         {"evicted", Evicted ? 1 : 0},
-                         {"held_bytes", std::int64_t(Budget.heldBytes())},
-                         {"max_bytes", std::int64_t(Budget.totalBytes())}});
-    });
-  }
-
-  void updateMemoryMetrics() {
-    const memory::memory_budget &Budget = Context.Memory.budget();
-    for (auto Kind :
-         {memory::holder_kind::Request, memory::holder_kind::Call,
-          memory::holder_kind::Response, memory::holder_kind::Delivery})
-      Context.Metrics.gauge(std::string("memory_held_bytes{held=\"") +
-                                memory::describe(Kind) + "\"}",
-                            double(Budget.heldBytes(Kind)));
-    Context.Metrics.gauge("memory_max_bytes", double(Budget.totalBytes()));
-  }
-
   void addUsageTask(const accounting_links &Accounting) {
     Usage = std::make_unique<usage_task>(Context, Settings.Location.Node,
                                          Settings.NodeListener, *Settings.Usage,
@@ -523,7 +498,7 @@
 }
 
 std::string gateway_node::metricsText() const {
-  Impl->updateMemoryMetrics();
+  updateMemoryMetrics(Impl->Context);
   return Impl->Context.Metrics.render();
 }
 
