Compare every stored record of the own server with what is announced

Cause: a new process learned what its predecessor had acknowledged only from the first list of servers, which may be seconds old. The log of the node shows that a later list with the state "gone" arrived 0.9 s before the late announcement that made the server ready again.

Change: server_lifecycle gets the own record from every list, and orders records with supersedes(): the later run first, then gone before draining before any other state. The node publishes no record that the stored one supersedes. Records of an instance that was denied at its address do not count.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -232,6 +232,10 @@
     if (!Lifecycle.current() || !ServersKnown)
       return Done();
     mesh::server_record Next = ownRecord();
+    // A late announcement of an earlier run must not replace the later one.
+    if (const auto &Stored = Lifecycle.storedRecord();
+        Stored && mesh::supersedes(*Stored, Next))
+      return Done();
     if (PublishedRecord) {
       mesh::server_record Before = *PublishedRecord;
       Before.Sequence = Next.Sequence;
@@ -521,10 +525,12 @@
                             [&](const mesh::server_record &Record) {
                               return Impl->isOwnRecord(Record);
                             });
-  if (First && Found != Servers.end()) {
-    Impl->Lifecycle.restoreRecord(*Found);
-    if (Impl->Usage)
+  if (Found != Servers.end()) {
+    if (First && Impl->Usage)
       Impl->Usage->onPredecessorFound();
+    if (Impl->Lifecycle.onStoredRecord(*Found) ==
+        mesh::lifecycle_change::Changed)
+      Impl->onServerChanged("stored as leaving");
   }
   Impl->Servers = std::move(Servers);
   Impl->checkRecordIsStored();
--- a/libs/gateway/tests/gateway_node_test.cpp
+++ b/libs/gateway/tests/gateway_node_test.cpp
@@ -71,6 +71,18 @@
     Next.Sequence = 1;
     return Next;
   }
+  mesh::server_record ownRecord(mesh::server_state State) const {
+    mesh::server_record Record;
+    Record.Node = node_id("n1");
+    Record.NodeAddress = {"127.0.0.1", 80};
+    Record.Instance = "i-1";
+    Record.Service = Service;
+    Record.Version = version_name("v1");
+    Record.Zone = zone_name("z");
+    Record.State = State;
+    Record.Incarnation = 1;
+    return Record;
+  }
   announcement_status announce(const mesh::server_announcement &Next) const {
     std::optional<announcement_status> Status;
     Node->announce(Next, [&](announcement_status Result) { Status = Result; });
@@ -159,3 +171,32 @@
   CHECK_EQUAL(2, Store.Published.size());
   CHECK(Store.Published.back().Service == Service);
 }
+
+// Guards against a server that has left and is used again after its node was
+// killed: the first list of the new process is stale, and late announcements
+// arrive before and after the list that holds the leaving.
+TEST(GatewayNode, LeavingInALaterListEndsTheUseOfTheServer) {
+  startNode({ownRecord(mesh::server_state::Ready)});
+  CHECK(announce(announcement(1)) == announcement_status::Acknowledged);
+  CHECK(Store.Published.back().State == mesh::server_state::Ready);
+  Node->onServers({ownRecord(mesh::server_state::Gone)});
+  mesh::server_announcement Late = announcement(1);
+  Late.Sequence = 2;
+  announce(Late);
+  CHECK(Store.Published.back().State == mesh::server_state::Gone);
+}
+
+// Guards against a late announcement of an earlier run that replaces the record
+// of the later one.
+TEST(GatewayNode, RecordOfALaterRunIsNotReplaced) {
+  announce(announcement(1));
+  std::size_t Before = Store.Published.size();
+  mesh::server_record Later = ownRecord(mesh::server_state::Ready);
+  Later.Incarnation = 2;
+  Node->onServers({Later});
+  mesh::server_announcement Late = announcement(1);
+  Late.Sequence = 2;
+  Late.Slots = 7;
+  announce(Late);
+  CHECK_EQUAL(Before, Store.Published.size());
+}
--- a/libs/mesh/include/gentianlug/mesh/server_lifecycle.h
+++ b/libs/mesh/include/gentianlug/mesh/server_lifecycle.h
@@ -23,6 +23,16 @@
 const char *findIdentityMismatch(const server_identity &Identity,
                                  const server_announcement &Announcement);
 
+/// Returns whether \p Stored is the later state of the server of a VM, so that
+/// \p Next must not replace it. A later run supersedes an earlier one. Within
+/// one run, a server that is gone supersedes a draining one, and that any
+/// other.
+///
+/// The sequence numbers do not count: a process that knows only an early
+/// announcement of its server still has to replace the record `Paused` that its
+/// predecessor left.
+bool supersedes(const server_record &Stored, const server_record &Next);
+
 /// Tracks the state of the local server across restarts.
 ///
 /// Announcements may arrive late, more than once and out of order. A run of the
@@ -30,8 +40,11 @@
 /// server that is draining or gone cannot become ready again.
 class server_lifecycle {
 public:
-  /// Restores the record that this node published before it restarted.
-  void restoreRecord(const server_record &Record);
+  /// Takes over what the store holds about the server. An earlier process of
+  /// this node may have acknowledged more than this one knows.
+  ///
+  /// \returns `Changed` if the current server turns out to be leaving.
+  lifecycle_change onStoredRecord(const server_record &Record);
   lifecycle_change onAnnouncement(const server_announcement &Next);
   /// Marks the server as gone without an announcement.
   ///
@@ -53,12 +66,16 @@
   void onInstanceDenied(const std::string &Instance);
 
   const std::optional<server_announcement> &current() const { return Current; }
+  /// Returns the latest stored state of the server that this node has read.
+  const std::optional<server_record> &storedRecord() const {
+    return StoredRecord;
+  }
 
 private:
   std::optional<server_announcement> Current;
   std::optional<server_record> StoredRecord;
-  /// Another server has answered at the address of the current one.
-  bool InstanceDenied = false;
+  /// Instance at whose address another server has answered.
+  std::string DeniedInstance;
 };
 
 } // namespace gentianlug::mesh
--- a/libs/mesh/src/server_lifecycle.cpp
+++ b/libs/mesh/src/server_lifecycle.cpp
@@ -2,8 +2,34 @@
 
 namespace gentianlug::mesh {
 
-static bool isLeaving(server_state State) {
-  return State == server_state::Draining || State == server_state::Gone;
+/// Returns how far the server has left; never decreases within one run.
+static int leavingRank(server_state State) {
+  switch (State) {
+  case server_state::Ready:
+  case server_state::Paused:
+    return 0;
+  case server_state::Draining:
+    return 1;
+  case server_state::Gone:
+    return 2;
+  }
+  return 0;
+}
+
+static bool isLeaving(server_state State) { return leavingRank(State) > 0; }
+
+template <class left, class right>
+static bool isSameRun(const left &Left, const right &Right) {
+  return Left.Instance == Right.Instance &&
+         Left.Incarnation == Right.Incarnation;
+}
+
+bool supersedes(const server_record &Stored, const server_record &Next) {
+  if (Stored.Service != Next.Service || Stored.Zone != Next.Zone)
+    return false;
+  return Stored.Incarnation > Next.Incarnation ||
+         (isSameRun(Stored, Next) &&
+          leavingRank(Stored.State) > leavingRank(Next.State));
 }
 
 const char *findIdentityMismatch(const server_identity &Identity,
@@ -18,21 +44,29 @@
   return nullptr;
 }
 
-void server_lifecycle::restoreRecord(const server_record &Record) {
-  StoredRecord = Record;
+lifecycle_change server_lifecycle::onStoredRecord(const server_record &Record) {
+  if (Record.Instance != DeniedInstance &&
+      !(StoredRecord && supersedes(*StoredRecord, Record)))
+    StoredRecord = Record;
+  if (!Current || !isSameRun(*Current, Record) ||
+      leavingRank(Record.State) <= leavingRank(Current->State))
+    return lifecycle_change::Unchanged;
+  Current->State = Record.State;
+  return lifecycle_change::Changed;
 }
 
 lifecycle_change
 server_lifecycle::onAnnouncement(const server_announcement &Next) {
-  if (StoredRecord && StoredRecord->Instance == Next.Instance &&
-      StoredRecord->Incarnation == Next.Incarnation &&
+  if (StoredRecord && isSameRun(*StoredRecord, Next) &&
       isLeaving(StoredRecord->State) && !isLeaving(Next.State))
     return lifecycle_change::Ignored;
   if (StoredRecord && Next.Incarnation < StoredRecord->Incarnation)
     return lifecycle_change::Ignored;
-  bool ReplacesDenied = InstanceDenied && Next.Instance != Current->Instance;
+  bool ReplacesDenied = Current && Current->Instance == DeniedInstance &&
+                        Next.Instance != DeniedInstance;
   if (!Current || Next.Incarnation > Current->Incarnation || ReplacesDenied) {
-    InstanceDenied = false;
+    if (Next.Instance == DeniedInstance)
+      DeniedInstance.clear();
     Current = Next;
     return lifecycle_change::Changed;
   }
@@ -73,8 +107,11 @@
 }
 
 void server_lifecycle::onInstanceDenied(const std::string &Instance) {
-  if (Current && Current->Instance == Instance)
-    InstanceDenied = true;
+  if (!Current || Current->Instance != Instance)
+    return;
+  DeniedInstance = Instance;
+  if (StoredRecord && StoredRecord->Instance == Instance)
+    StoredRecord.reset();
 }
 
 } // namespace gentianlug::mesh
--- a/libs/mesh/tests/server_lifecycle_test.cpp
+++ b/libs/mesh/tests/server_lifecycle_test.cpp
@@ -17,6 +17,16 @@
   return Next;
 }
 
+static server_record makeRecord(const std::string &Instance,
+                                incarnation_number Incarnation,
+                                server_state State) {
+  server_record Record;
+  Record.Instance = Instance;
+  Record.Incarnation = Incarnation;
+  Record.State = State;
+  return Record;
+}
+
 TEST_GROUP(ServerLifecycle) {
   server_lifecycle Lifecycle;
 
@@ -47,6 +57,17 @@
   expect(lifecycle_change::Ignored, makeAnnouncement("old", 1, 7));
 }
 
+// Guards against lists that still hold the record of such an announcement, and
+// that would keep the real server out again.
+TEST(ServerLifecycle, StoredRecordOfADeniedInstanceIsIgnored) {
+  expect(lifecycle_change::Changed, makeAnnouncement("foreign", 9, 1));
+  Lifecycle.onStoredRecord(makeRecord("foreign", 9, server_state::Ready));
+  Lifecycle.onInstanceDenied("foreign");
+  expect(lifecycle_change::Changed, makeAnnouncement("i", 2, 4));
+  Lifecycle.onStoredRecord(makeRecord("foreign", 9, server_state::Ready));
+  expect(lifecycle_change::Unchanged, makeAnnouncement("i", 2, 5));
+}
+
 // Guards against an announcement of another writer that changes the service,
 // zone or address of a VM.
 TEST(ServerLifecycle, FindsAnnouncementsOfOtherServers) {
@@ -109,22 +130,33 @@
 
 // Guards against a restarted node that loses acknowledged announcements.
 TEST(ServerLifecycle, StoredLeavingHoldsAfterARestart) {
-  server_record Stored;
-  Stored.Instance = "i";
-  Stored.Incarnation = 4;
-  Stored.State = server_state::Draining;
-  Lifecycle.restoreRecord(Stored);
+  Lifecycle.onStoredRecord(makeRecord("i", 4, server_state::Draining));
   expect(lifecycle_change::Ignored, makeAnnouncement("i", 4, 9));
   expect(lifecycle_change::Ignored, makeAnnouncement("h", 3, 9));
   expect(lifecycle_change::Changed, makeAnnouncement("j", 5, 1));
 }
 
+// Guards against a restarted node whose first list is stale: it lacks a leaving
+// that the process before acknowledged, and late announcements bring the server
+// back.
+TEST(ServerLifecycle, LeavingInALaterListHolds) {
+  Lifecycle.onStoredRecord(makeRecord("i", 4, server_state::Ready));
+  expect(lifecycle_change::Changed, makeAnnouncement("i", 4, 9));
+  CHECK(Lifecycle.onStoredRecord(makeRecord("i", 4, server_state::Gone)) ==
+        lifecycle_change::Changed);
+  CHECK(Lifecycle.current()->State == server_state::Gone);
+  expect(lifecycle_change::Ignored, makeAnnouncement("i", 4, 10));
+  CHECK(Lifecycle.current()->State == server_state::Gone);
+  // An even older list changes nothing.
+  CHECK(Lifecycle.onStoredRecord(makeRecord("i", 4, server_state::Ready)) ==
+        lifecycle_change::Unchanged);
+  CHECK(Lifecycle.storedRecord()->State == server_state::Gone);
+  expect(lifecycle_change::Changed, makeAnnouncement("i", 5, 1));
+  CHECK(Lifecycle.current()->State == server_state::Ready);
+}
+
 TEST(ServerLifecycle, PausedServerMayBecomeReady) {
-  server_record Stored;
-  Stored.Instance = "i";
-  Stored.Incarnation = 4;
-  Stored.State = server_state::Paused;
-  Lifecycle.restoreRecord(Stored);
+  Lifecycle.onStoredRecord(makeRecord("i", 4, server_state::Paused));
   expect(lifecycle_change::Changed, makeAnnouncement("i", 4, 9));
 }
 
