Keep the leaving of a server that has not announced itself

Cause: server_lifecycle ignored a leaving while no announcement had reached the new process, and the node acknowledged it at once. The log of the node shows no event for the leaving, and the stored state stayed "ready". Before the first list of servers it was the same for an announced server.

Change: the leaving of the stored run makes that run the current one, gone, which is published before the acknowledgement. A leaving of an unknown run is kept until a record or an announcement describes it. Acknowledgements wait for the first list, up to the 400 ms that they wait for the store anyway.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -16,6 +16,9 @@
 /// Maximum time that the acknowledgement of a leaving server waits for the
 /// store. The server repeats its request after 1 s.
 static constexpr std::chrono::milliseconds MaxAckDelay{400};
+/// Maximum number of acknowledgements that wait for the first list of servers.
+/// Further ones are sent after `MaxAckDelay`.
+static constexpr std::size_t MaxWaitingAcks = 16;
 /// Time for other nodes to learn that this node is stopping before it rejects
 /// their calls. A rejected call only makes them choose another server.
 static constexpr std::chrono::milliseconds PeerNoticePeriod{500};
@@ -70,6 +73,8 @@
   std::function<void()> StopHandler;
   std::optional<mesh::server_record> PublishedRecord;
   steady_time PublishedAt{};
+  /// Acknowledgements that wait for the first list of servers.
+  std::vector<std::function<void()>> WaitingAcks;
   std::optional<local_server> LocalServer;
   net::timer StopTimer;
   net::timer FlushTimer;
@@ -225,7 +230,7 @@
   }
 
   /// Stores the record if it differs from the last published one in anything
-  /// but its sequence number.
+  /// but its sequence number. \p Done runs once there is nothing left to store.
   void publish(std::function<void()> Done) {
     // Until the store has been read, this node may not know the record that an
     // earlier process of the server left there.
@@ -361,8 +366,8 @@
     proposeBaseVersion();
   }
 
-  /// Runs \p Ack when the record of a leaving server is stored, or after
-  /// `MaxAckDelay`.
+  /// Runs \p Ack when the servers are known and the record of a leaving server
+  /// is stored, or after `MaxAckDelay`.
   void ackWhenStored(std::function<void()> Ack) {
     struct pending_ack {
       std::function<void()> Ack;
@@ -377,7 +382,18 @@
     };
     Pending->Timeout.emplace(Context.Loop, Run);
     Pending->Timeout->startOnce(MaxAckDelay);
-    publish(Run);
+    if (ServersKnown)
+      publish(Run);
+    else if (WaitingAcks.size() < MaxWaitingAcks)
+      WaitingAcks.push_back(Run);
+  }
+
+  void publishForWaitingAcks() {
+    auto Acks = std::exchange(WaitingAcks, {});
+    publish([Acks = std::move(Acks)] {
+      for (const std::function<void()> &Ack : Acks)
+        Ack();
+    });
   }
 
   std::chrono::milliseconds maxCallTimeout() const {
@@ -548,8 +564,8 @@
                                Record.State == mesh::server_state::Ready;
                       });
     Impl->Serving.onRetryBounds(Impl->Settings.Bounds, std::size_t(Count));
-    Impl->publish([] {});
   }
+  Impl->publishForWaitingAcks();
 }
 
 void gateway_node::onBaseVersions(
--- a/libs/gateway/tests/gateway_node_test.cpp
+++ b/libs/gateway/tests/gateway_node_test.cpp
@@ -44,21 +44,25 @@
   recording_store Store;
   const service_name Service{"s"};
   const address ServerAddress{"127.0.0.1", freePort()};
+  address NodeListener;
   std::unique_ptr<gateway_node> Node;
 
-  void setup() override { startNode({}); }
-  void startNode(const std::vector<mesh::server_record> &Stored) {
+  void setup() override { startNode(std::vector<mesh::server_record>()); }
+  /// \param Stored first list of servers; empty if the store does not answer.
+  void startNode(std::optional<std::vector<mesh::server_record>> Stored) {
     gateway_settings Settings;
     Settings.Location.Node = node_id("n1");
     Settings.Location.Zone = zone_name("z");
     Settings.LocalService = Service;
     Settings.ServerAddress = ServerAddress;
     Settings.CallerListener = {"127.0.0.1", freePort()};
-    Settings.NodeListener = {"127.0.0.1", freePort()};
+    NodeListener = {"127.0.0.1", freePort()};
+    Settings.NodeListener = NodeListener;
     Node =
         std::make_unique<gateway_node>(Environment.context(), Settings, Store);
     CHECK(bool(Node->start()));
-    Node->onServers(Stored);
+    if (Stored)
+      Node->onServers(std::move(*Stored));
   }
   mesh::server_announcement announcement(incarnation_number Incarnation) const {
     mesh::server_announcement Next;
@@ -74,7 +78,7 @@
   mesh::server_record ownRecord(mesh::server_state State) const {
     mesh::server_record Record;
     Record.Node = node_id("n1");
-    Record.NodeAddress = {"127.0.0.1", 80};
+    Record.NodeAddress = NodeListener;
     Record.Instance = "i-1";
     Record.Service = Service;
     Record.Version = version_name("v1");
@@ -163,7 +167,7 @@
   Foreign.Zone = zone_name("z");
   Foreign.Service = service_name("t");
   Foreign.Incarnation = 1000;
-  startNode({Foreign});
+  startNode({{Foreign}});
   CHECK(announce(announcement(1)) == announcement_status::Acknowledged);
   CHECK_EQUAL(1, Store.Published.size());
   Environment.Clock.advance(3s);
@@ -176,7 +180,7 @@
 // killed: the first list of the new process is stale, and late announcements
 // arrive before and after the list that holds the leaving.
 TEST(GatewayNode, LeavingInALaterListEndsTheUseOfTheServer) {
-  startNode({ownRecord(mesh::server_state::Ready)});
+  startNode({{ownRecord(mesh::server_state::Ready)}});
   CHECK(announce(announcement(1)) == announcement_status::Acknowledged);
   CHECK(Store.Published.back().State == mesh::server_state::Ready);
   Node->onServers({ownRecord(mesh::server_state::Gone)});
@@ -200,3 +204,38 @@
   announce(Late);
   CHECK_EQUAL(Before, Store.Published.size());
 }
+
+// Guards against a restarted node that acknowledges the leaving of its server
+// before the server has announced itself, and stores nothing: late
+// announcements bring the server back.
+TEST(GatewayNode, LeavingBeforeTheFirstAnnouncementIsStored) {
+  startNode({{ownRecord(mesh::server_state::Ready)}});
+  bool Acked = false;
+  Node->deregister("i-1", 1, [&] { Acked = true; });
+  CHECK_EQUAL(1, Store.Published.size());
+  CHECK(Store.Published.back() == ownRecord(mesh::server_state::Gone));
+  CHECK_FALSE(Acked);
+  announce(announcement(1));
+  CHECK_EQUAL(1, Store.Published.size());
+}
+
+// Guards against an acknowledgement before the node has read the record that
+// has to be replaced, while the store is there.
+TEST(GatewayNode, LeavingIsAcknowledgedAfterTheFirstList) {
+  startNode(std::nullopt);
+  bool Acked = false;
+  Node->deregister("i-1", 1, [&] { Acked = true; });
+  CHECK_FALSE(Acked);
+  Node->onServers({ownRecord(mesh::server_state::Ready)});
+  CHECK_EQUAL(1, Store.Published.size());
+  CHECK(Store.Published.back().State == mesh::server_state::Gone);
+  CHECK_FALSE(Acked);
+}
+
+// Guards against an acknowledgement that waits for a store that is away.
+TEST(GatewayNode, LeavingIsAcknowledgedWithoutTheStore) {
+  startNode(std::nullopt);
+  bool Acked = false;
+  Node->deregister("i-1", 1, [&] { Acked = true; });
+  runUntil(Environment.Loop, [&] { return Acked; });
+}
--- a/libs/mesh/include/gentianlug/mesh/server_lifecycle.h
+++ b/libs/mesh/include/gentianlug/mesh/server_lifecycle.h
@@ -46,11 +46,13 @@
   /// \returns `Changed` if the current server turns out to be leaving.
   lifecycle_change onStoredRecord(const server_record &Record);
   lifecycle_change onAnnouncement(const server_announcement &Next);
-  /// Marks the server as gone without an announcement.
+  /// Marks the server as gone without an announcement. A run that this process
+  /// has not heard of becomes the current one if the store knows it; otherwise
+  /// its leaving is kept until an announcement or a stored record describes it.
   ///
   /// \param Incarnation the run that has ended, if the message names it.
-  /// \returns `Ignored` if \p Instance is not the current one, or if a later
-  ///   run of it is.
+  /// \returns `Ignored` if a later run of \p Instance is the current one, and
+  ///   for an unknown run without an incarnation.
   lifecycle_change
   onServerGone(const std::string &Instance,
                std::optional<incarnation_number> Incarnation = std::nullopt);
@@ -72,8 +74,22 @@
   }
 
 private:
+  /// Run of a server.
+  struct server_run {
+    std::string Instance;
+    incarnation_number Incarnation = 0;
+  };
+
+  lifecycle_change
+  onUnannouncedServerGone(const std::string &Instance,
+                          std::optional<incarnation_number> Incarnation);
+  /// Makes the stored run, which has left, the current one.
+  void adoptStoredRunAsGone();
+
   std::optional<server_announcement> Current;
   std::optional<server_record> StoredRecord;
+  /// The latest run that left before this process had heard of it.
+  std::optional<server_run> UnannouncedGone;
   /// Instance at whose address another server has answered.
   std::string DeniedInstance;
 };
--- a/libs/mesh/src/server_lifecycle.cpp
+++ b/libs/mesh/src/server_lifecycle.cpp
@@ -48,6 +48,10 @@
   if (Record.Instance != DeniedInstance &&
       !(StoredRecord && supersedes(*StoredRecord, Record)))
     StoredRecord = Record;
+  if (UnannouncedGone && isSameRun(*UnannouncedGone, Record) && !Current) {
+    adoptStoredRunAsGone();
+    return lifecycle_change::Changed;
+  }
   if (!Current || !isSameRun(*Current, Record) ||
       leavingRank(Record.State) <= leavingRank(Current->State))
     return lifecycle_change::Unchanged;
@@ -55,8 +59,24 @@
   return lifecycle_change::Changed;
 }
 
+void server_lifecycle::adoptStoredRunAsGone() {
+  server_announcement Next;
+  Next.Instance = StoredRecord->Instance;
+  Next.Service = StoredRecord->Service;
+  Next.Version = StoredRecord->Version;
+  Next.Zone = StoredRecord->Zone;
+  Next.Slots = StoredRecord->Slots;
+  Next.State = server_state::Gone;
+  Next.Incarnation = StoredRecord->Incarnation;
+  Next.Sequence = StoredRecord->Sequence;
+  Current = std::move(Next);
+}
+
 lifecycle_change
-server_lifecycle::onAnnouncement(const server_announcement &Next) {
+server_lifecycle::onAnnouncement(const server_announcement &Announced) {
+  server_announcement Next = Announced;
+  if (UnannouncedGone && isSameRun(*UnannouncedGone, Next))
+    Next.State = server_state::Gone;
   if (StoredRecord && isSameRun(*StoredRecord, Next) &&
       isLeaving(StoredRecord->State) && !isLeaving(Next.State))
     return lifecycle_change::Ignored;
@@ -97,15 +117,35 @@
 lifecycle_change
 server_lifecycle::onServerGone(const std::string &Instance,
                                std::optional<incarnation_number> Incarnation) {
-  if (!Current || Current->Instance != Instance ||
-      (Incarnation && *Incarnation < Current->Incarnation))
+  bool Announced = Current && Current->Instance == Instance;
+  if (Announced && Incarnation && *Incarnation < Current->Incarnation)
     return lifecycle_change::Ignored;
+  if (!Announced || (Incarnation && *Incarnation > Current->Incarnation))
+    return onUnannouncedServerGone(Instance, Incarnation);
   if (Current->State == server_state::Gone)
     return lifecycle_change::Unchanged;
   Current->State = server_state::Gone;
   return lifecycle_change::Changed;
 }
 
+lifecycle_change server_lifecycle::onUnannouncedServerGone(
+    const std::string &Instance,
+    std::optional<incarnation_number> Incarnation) {
+  if (StoredRecord && StoredRecord->Instance == Instance && !Incarnation)
+    Incarnation = StoredRecord->Incarnation;
+  if (!Incarnation || (Current && *Incarnation < Current->Incarnation))
+    return lifecycle_change::Ignored;
+  server_run Run{Instance, *Incarnation};
+  if (StoredRecord && isSameRun(Run, *StoredRecord)) {
+    adoptStoredRunAsGone();
+    return lifecycle_change::Changed;
+  }
+  if (UnannouncedGone && Run.Incarnation < UnannouncedGone->Incarnation)
+    return lifecycle_change::Ignored;
+  UnannouncedGone = std::move(Run);
+  return lifecycle_change::Unchanged;
+}
+
 void server_lifecycle::onInstanceDenied(const std::string &Instance) {
   if (!Current || Current->Instance != Instance)
     return;
--- a/libs/mesh/tests/server_lifecycle_test.cpp
+++ b/libs/mesh/tests/server_lifecycle_test.cpp
@@ -155,6 +155,45 @@
   CHECK(Lifecycle.current()->State == server_state::Ready);
 }
 
+// Guards against a restarted node that acknowledges the leaving of its server
+// before the server has announced itself, and forgets it.
+TEST(ServerLifecycle, LeavingBeforeTheFirstAnnouncementHolds) {
+  Lifecycle.onStoredRecord(makeRecord("i", 4, server_state::Ready));
+  CHECK(Lifecycle.onServerGone("i", 4) == lifecycle_change::Changed);
+  CHECK(Lifecycle.current()->State == server_state::Gone);
+  expect(lifecycle_change::Unchanged, makeAnnouncement("i", 4, 9));
+  CHECK(Lifecycle.current()->State == server_state::Gone);
+  expect(lifecycle_change::Changed, makeAnnouncement("i", 5, 1));
+  CHECK(Lifecycle.current()->State == server_state::Ready);
+}
+
+// The same before the store has been read.
+TEST(ServerLifecycle, LeavingOfAnUnknownServerHolds) {
+  CHECK(Lifecycle.onServerGone("i", 4) == lifecycle_change::Unchanged);
+  CHECK_FALSE(Lifecycle.current().has_value());
+  expect(lifecycle_change::Changed, makeAnnouncement("i", 4, 9));
+  CHECK(Lifecycle.current()->State == server_state::Gone);
+}
+
+TEST(ServerLifecycle, LeavingOfAnUnknownServerIsStored) {
+  CHECK(Lifecycle.onServerGone("i", 4) == lifecycle_change::Unchanged);
+  CHECK(Lifecycle.onStoredRecord(makeRecord("i", 4, server_state::Ready)) ==
+        lifecycle_change::Changed);
+  CHECK(Lifecycle.current()->State == server_state::Gone);
+}
+
+// Guards against the leaving of an earlier run that takes out the server that
+// has started again, with the same instance id or with another one.
+TEST(ServerLifecycle, LeavingOfAnEarlierUnknownRunIsIgnored) {
+  Lifecycle.onStoredRecord(makeRecord("i", 4, server_state::Ready));
+  CHECK(Lifecycle.onServerGone("i", 3) == lifecycle_change::Unchanged);
+  expect(lifecycle_change::Changed, makeAnnouncement("i", 4, 9));
+  CHECK(Lifecycle.current()->State == server_state::Ready);
+  CHECK(Lifecycle.onServerGone("h", 3) == lifecycle_change::Ignored);
+  CHECK(Lifecycle.onServerGone("h") == lifecycle_change::Ignored);
+  CHECK(Lifecycle.current()->State == server_state::Ready);
+}
+
 TEST(ServerLifecycle, PausedServerMayBecomeReady) {
   Lifecycle.onStoredRecord(makeRecord("i", 4, server_state::Paused));
   expect(lifecycle_change::Changed, makeAnnouncement("i", 4, 9));
