Do not let announcements overrule the health check of a server

Cause: a second announcement counted as a proof that the server is ready, also while the health check was in flight or had failed. Any number of announcements may be late.

Change: the serving task keeps what the health check has shown. Announcements confirm a server only if a check got no response, or one that says the server had no room for it; an answer that the server is failing or leaving holds until a later check succeeds. The setup of the tests confirms its server by a health check now; before it relied on two announcements.

--- a/libs/gateway/include/gentianlug/gateway/serving_task.h
+++ b/libs/gateway/include/gentianlug/gateway/serving_task.h
@@ -97,6 +97,8 @@
   /// Returns the evidence of the server's calls since the last
   /// `resetEvidence`, or since another version runs.
   rollout::server_evidence evidence();
+  /// Returns whether the server is known to be running, so that it gets calls.
+  bool isServerConfirmed() const;
   std::size_t callsInFlight() const;
   /// Returns the number of response bytes that are still to be sent to other
   /// nodes.
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -51,6 +51,16 @@
   bool NestedCallRejected = false;
 };
 
+/// What the health check of an unconfirmed server has shown so far.
+enum class health_verdict : std::uint8_t {
+  /// No check has ended.
+  Pending,
+  /// The last check got no response, or the server had no room for it.
+  Unknown,
+  /// The server itself has answered that it fails or is leaving.
+  Unhealthy,
+};
+
 } // namespace
 
 struct serving_task::impl : std::enable_shared_from_this<serving_task::impl> {
@@ -67,6 +77,7 @@
   net::timer ProbeTimeoutTimer;
   std::optional<http1::client_pool::ticket> Probe;
   steady_time ProbeSentAt{};
+  health_verdict Verdict = health_verdict::Pending;
   std::uint32_t ConsecutiveLostResponses = 0;
   /// Server instance that has announced itself since this node started.
   std::string AnnouncedInstance;
@@ -512,6 +523,13 @@
       return;
     Pool.cancel(*Probe);
     Probe.reset();
+    onProbeUnanswered();
+  }
+
+  /// The last answer of the server remains valid.
+  void onProbeUnanswered() {
+    if (Verdict == health_verdict::Pending)
+      Verdict = health_verdict::Unknown;
     ProbeTimer.startOnce(ProbeInterval);
   }
 
@@ -519,18 +537,22 @@
     ProbeTimeoutTimer.cancel();
     if (Admission.confirmed() || !Server)
       return;
-    if (Result.Outcome == http1::send_outcome::Responded) {
-      health_report Health = Context.Dialect.readHealth(Result.Response);
-      onServerNotice(Context.Dialect.readServerNotice(Result.Response),
-                     Health.Instance, ProbeSentAt);
-      if (Health.Healthy && Health.Instance == Server->Admission.Instance) {
-        confirm(Health.ColdFor, "probe");
-        return advance();
-      }
-      if (!Health.Instance.empty() &&
-          Health.Instance != Server->Admission.Instance)
-        onInstanceDenied(Server->Admission.Instance);
+    if (Result.Outcome != http1::send_outcome::Responded)
+      return onProbeUnanswered();
+    health_report Health = Context.Dialect.readHealth(Result.Response);
+    onServerNotice(Context.Dialect.readServerNotice(Result.Response),
+                   Health.Instance, ProbeSentAt);
+    bool SameInstance = Health.Instance == Server->Admission.Instance;
+    if (Health.Healthy && SameInstance) {
+      confirm(Health.ColdFor, "probe");
+      return advance();
     }
+    if (!Health.Instance.empty() && !SameInstance)
+      onInstanceDenied(Server->Admission.Instance);
+    if (Context.Dialect.classifyResponse(Result.Response) ==
+        response_class::NotRun)
+      return onProbeUnanswered();
+    Verdict = health_verdict::Unhealthy;
     ProbeTimer.startOnce(ProbeInterval);
   }
 
@@ -539,6 +561,7 @@
     if (Admission.confirmed())
       return;
     Admission.setConfirmed(true);
+    Verdict = health_verdict::Pending;
     ConsecutiveLostResponses = 0;
     Context.Log.write(event::ServerConfirmed,
                       {{"instance", Server->Admission.Instance},
@@ -622,13 +645,16 @@
 void serving_task::onServerAnnounced(std::chrono::milliseconds ColdFor) {
   if (!Impl->Server)
     return;
-  // The first announcement may be a delayed one from before the server began to
-  // shut down. A successful probe or a second announcement rules that out.
+  // Announcements may be delayed ones from before the server began to shut
+  // down. They confirm a server only if it answers no health check.
   const std::string &Instance = Impl->Server->Admission.Instance;
   if (Impl->AnnouncedInstance != Instance) {
     Impl->AnnouncedInstance = Instance;
+    Impl->Verdict = health_verdict::Pending;
     return Impl->probe();
   }
+  if (!Impl->Admission.confirmed() && Impl->Verdict != health_verdict::Unknown)
+    return Impl->probe();
   Impl->confirm(ColdFor, "announcement");
   Impl->advance();
 }
@@ -718,6 +744,10 @@
   Impl->OtherUnsentBytes = std::move(UnsentBytes);
 }
 
+bool serving_task::isServerConfirmed() const {
+  return Impl->Admission.confirmed();
+}
+
 std::size_t serving_task::callsInFlight() const { return Impl->Calls.size(); }
 
 std::size_t serving_task::unsentBytes() const { return Impl->unsentBytes(); }
--- a/libs/gateway/tests/serving_task_test.cpp
+++ b/libs/gateway/tests/serving_task_test.cpp
@@ -26,14 +26,33 @@
     Local.Version = version_name("v1");
     Local.Admission.Instance = "i";
     Local.Admission.Slots = 5;
+    Local.HealthPath = "/health";
     CHECK(bool(Server.listen(Local.Address, {})));
     Serving.onRetryBounds({}, 1);
     Serving.onServer(Local);
-    // The first announcement may be a late one; the second confirms the server.
-    Serving.onServerAnnounced(0ms);
+    Environment.Dialect.Health = {true, "i", 0ms};
     Serving.onServerAnnounced(0ms);
+    awaitHealthCheck();
+    answerHealthCheck();
+    runUntil(Loop, [&] { return Serving.isServerConfirmed(); });
+    ServerCalls.clear();
   }
   void teardown() override { ServerCalls.clear(); }
+  void awaitHealthCheck() {
+    std::size_t Before = ServerCalls.size();
+    runUntil(Loop, [&] { return ServerCalls.size() > Before; });
+  }
+  void answerHealthCheck() {
+    ServerCalls.back()->respond(http1::makeStatusResponse(200));
+  }
+  /// Replaces the server by another one, which has announced itself once.
+  void restartServer() {
+    Local.Admission.Instance = "j";
+    Local.Admission.Incarnation = 2;
+    Serving.onServer(Local);
+    Serving.onServerAnnounced(0ms);
+    awaitHealthCheck();
+  }
   call_transport::ticket startCall(const std::string &Id,
                                    bool IsRetry = false) {
     peer_call Call;
@@ -112,6 +131,43 @@
   CHECK(ServerCalls.empty());
 }
 
+// Guards against late announcements of a server that is leaving, which bring it
+// back although its health check says otherwise.
+TEST(ServingTask, AnnouncementsDoNotOverruleTheHealthCheck) {
+  Environment.Dialect.Health = {false, "j", 0ms};
+  restartServer();
+  answerHealthCheck();
+  awaitHealthCheck();
+  Serving.onServerAnnounced(0ms);
+  CHECK_FALSE(Serving.isServerConfirmed());
+  Environment.Dialect.Health.Healthy = true;
+  answerHealthCheck();
+  runUntil(Loop, [&] { return Serving.isServerConfirmed(); });
+}
+
+// Guards against two late announcements that arrive before the health check is
+// answered.
+TEST(ServingTask, AnnouncementsDoNotOvertakeTheHealthCheck) {
+  Environment.Dialect.Health = {true, "j", 0ms};
+  restartServer();
+  Serving.onServerAnnounced(0ms);
+  CHECK_FALSE(Serving.isServerConfirmed());
+  answerHealthCheck();
+  runUntil(Loop, [&] { return Serving.isServerConfirmed(); });
+}
+
+// Guards against a sound server that stays out of use, because it has no room
+// for a health check.
+TEST(ServingTask, AnnouncementsConfirmAServerWithoutRoomForTheHealthCheck) {
+  Environment.Dialect.Health = {false, "j", 0ms};
+  Environment.Dialect.Class = response_class::NotRun;
+  restartServer();
+  answerHealthCheck();
+  awaitHealthCheck();
+  Serving.onServerAnnounced(0ms);
+  CHECK(Serving.isServerConfirmed());
+}
+
 // Guards against calls of callers that are taken for nested ones: all calls
 // then had the highest priority.
 TEST(ServingTask, NestedCallsAreRecognizedByTheRunningCall) {
--- a/libs/gateway/tests/task_fixture.h
+++ b/libs/gateway/tests/task_fixture.h
@@ -18,14 +18,14 @@
   void removeAccountFields(http1::request &) const override {}
   void writeServerCall(http1::request &, const server_call &) const override {}
   response_class classifyResponse(const http1::response &) const override {
-    return response_class::Final;
+    return Class;
   }
   void addLocalResponseHeaders(
       http1::response &, const std::string &,
       std::optional<std::chrono::milliseconds>) const override {}
   const std::string &echoedHeader() const override { return Field; }
   health_report readHealth(const http1::response &) const override {
-    return {};
+    return Health;
   }
   server_notice readServerNotice(const http1::response &) const override {
     return Notice;
@@ -33,6 +33,9 @@
 
   /// Notice that every response carries.
   server_notice Notice;
+  /// What every response of a health check says.
+  health_report Health;
+  response_class Class = response_class::Final;
 
 private:
   std::string Field;
