Write server records on the revision that the node knows

What callers see: a sound server gets no calls after a restart of its node, if the store carries out the last write of the process before ("paused") late; or a server that has left is ready again, if the late write comes from a process that knows less.

Cause: the record of a server was written without a revision, so the last write that the store carried out counted, not the last one that was sent.

Change: records are created, or replaced on the revision of the last record that the node was told of. On a conflict mesh::supersedes decides; the publisher receives the record that stays.

--- a/libs/gateway/include/gentianlug/gateway/mesh_store.h
+++ b/libs/gateway/include/gentianlug/gateway/mesh_store.h
@@ -68,10 +68,14 @@
   /// requests take the place of the probes of `setHealthCheck`. Empty to stop.
   virtual void
   setConfirmationPeriod(std::optional<std::chrono::milliseconds> Period) = 0;
-  /// Stores the record of this node's server. Retries until the write succeeds
-  /// or a newer record replaces it; runs \p Done on success.
-  virtual void publishServer(const mesh::server_record &Record,
-                             std::function<void()> Done) = 0;
+  /// Stores the record of this node's server, unless the stored one supersedes
+  /// it. Retries until the write succeeds or a newer record replaces it.
+  ///
+  /// \param Done receives what the store then holds: \p Record, or the record
+  ///   that supersedes it.
+  virtual void publishServer(
+      const mesh::server_record &Record,
+      std::function<void(const mesh::server_record &Stored)> Done) = 0;
   /// Returns whether a record passed to `publishServer` is not yet stored.
   virtual bool hasPendingPublish() const = 0;
   /// Stores the version that a service has outside of rollouts, if the stored
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -249,7 +249,22 @@
     }
     PublishedRecord = Next;
     PublishedAt = Context.Clock.steadyNow();
-    Store.publishServer(Next, std::move(Done));
+    Store.publishServer(
+        Next, bindWeakly(shared_from_this(),
+                         [Next, Done = std::move(Done)](
+                             impl &Self, const mesh::server_record &Stored) {
+                           if (Stored != Next)
+                             Self.onRecordSuperseded(Stored);
+                           Done();
+                         }));
+  }
+
+  /// An earlier process of this node has stored more than this one knows.
+  void onRecordSuperseded(const mesh::server_record &Stored) {
+    PublishedRecord = Stored;
+    if (Lifecycle.onStoredRecord(Stored) == mesh::lifecycle_change::Changed)
+      onServerChanged("stored as leaving");
+    publish([] {});
   }
 
   /// Returns whether \p Record is one that a node of this VM has published.
--- a/libs/gateway/tests/feed_task_test.cpp
+++ b/libs/gateway/tests/feed_task_test.cpp
@@ -49,8 +49,9 @@
   void setHealthCheck(const std::optional<store_health_check> &) override {}
   void
   setConfirmationPeriod(std::optional<std::chrono::milliseconds>) override {}
-  void publishServer(const mesh::server_record &,
-                     std::function<void()>) override {}
+  void
+  publishServer(const mesh::server_record &,
+                std::function<void(const mesh::server_record &)>) override {}
   bool hasPendingPublish() const override { return false; }
   void publishBaseVersion(const service_name &, const mesh::base_version &,
                           std::function<void(bool)>) override {}
--- a/libs/gateway/tests/gateway_node_test.cpp
+++ b/libs/gateway/tests/gateway_node_test.cpp
@@ -19,8 +19,9 @@
   void setHealthCheck(const std::optional<store_health_check> &) override {}
   void
   setConfirmationPeriod(std::optional<std::chrono::milliseconds>) override {}
-  void publishServer(const mesh::server_record &Record,
-                     std::function<void()>) override {
+  void
+  publishServer(const mesh::server_record &Record,
+                std::function<void(const mesh::server_record &)>) override {
     Published.push_back(Record);
   }
   bool hasPendingPublish() const override { return false; }
--- a/standins/object_store_standin.cpp
+++ b/standins/object_store_standin.cpp
@@ -96,6 +96,11 @@
     Each.Exchange->abandon();
 }
 
+void object_store_standin::executeDelayedWrites() {
+  for (const auto &Write : std::exchange(DelayedWrites, {}))
+    Write();
+}
+
 bool object_store_standin::exceedsRate() {
   if (MaxCallsPerSecond == 0)
     return false;
@@ -154,6 +159,12 @@
     Name.resize(Name.size() - StatusSuffix.size());
   if (Request.Method == "GET")
     return handleRead(std::move(Exchange), Kind, Name, Query);
+  if (Faults.DelayWrites) {
+    DelayedWrites.push_back([this, Request, Kind, Name, Status] {
+      (void)handleWrite(Request, Kind, Name, Status);
+    });
+    return Exchange->abandon();
+  }
   http1::response Response = handleWrite(Request, Kind, Name, Status);
   if (Faults.DropWriteResponses)
     return Exchange->abandon();
--- a/standins/object_store_standin.h
+++ b/standins/object_store_standin.h
@@ -22,6 +22,8 @@
   bool IgnoreRequests = false;
   /// Writes take effect, but the connection is closed without a response.
   bool DropWriteResponses = false;
+  /// Writes get no response, and take effect in `executeDelayedWrites`.
+  bool DelayWrites = false;
   /// Watches do not report changes.
   bool SuppressEvents = false;
   /// Number of revisions by which stale reads lag behind.
@@ -52,6 +54,8 @@
   void dropHistory();
   /// Closes the connections of all pending watches without a response.
   void abortWatches();
+  std::size_t delayedWrites() const { return DelayedWrites.size(); }
+  void executeDelayedWrites();
   /// Sets the limit of calls per second, beyond which calls get status 429; 0
   /// means no limit.
   void setRateLimit(std::size_t CallsPerSecond) {
@@ -105,6 +109,7 @@
   std::uint64_t Revision = 1;
   std::uint64_t HistoryStartRevision = 0;
   std::vector<pending_watch> PendingWatches;
+  std::vector<std::function<void()>> DelayedWrites;
   std::size_t MaxCallsPerSecond = 0;
   std::deque<std::chrono::steady_clock::time_point> RecentCalls;
 };
