Check that the watches of the store have missed nothing

Cause: a node took the silence of a watch for "nothing has changed" until its wait of 12 s was over. The connection may be silent, or the watch may have begun before the store dropped its history; the health check asks for another kind on another connection, accepting stale data. A list that may be stale counted as complete after 60 ms of silence.

Change: the health check of a node that watches the store asks for changes of the configuration after the known revision.

--- a/libs/gateway/include/gentianlug/gateway/mesh_store.h
+++ b/libs/gateway/include/gentianlug/gateway/mesh_store.h
@@ -35,7 +35,8 @@
   virtual void onConfigurationConfirmed(steady_time AsOf) = 0;
 };
 
-/// Periodic probe by which a relay detects that the store is unreachable.
+/// Periodic check by which a node that watches the store detects that the store
+/// is unreachable, or that a watch has missed changes.
 struct store_health_check {
   std::chrono::milliseconds Period{0};
   /// The store counts as unreachable after this time without a response.
@@ -59,13 +60,14 @@
   virtual void setWatching(bool Watching) = 0;
   /// Checks once whether the store responds, at the reduced price.
   virtual void probe(std::function<void(bool Reached)> Done) = 0;
-  /// Starts periodic probes, which detect within a second that the store is
-  /// unreachable; stops them if \p Check is empty.
+  /// Starts periodic checks; stops them if \p Check is empty. While the store
+  /// is watched, each one proves that the watches are complete, at the full
+  /// price of a call. Otherwise it is a probe.
   virtual void
   setHealthCheck(const std::optional<store_health_check> &Check) = 0;
   /// Checks at every \p Period, while the store is watched, that the
   /// configuration is the newest one, and reports it to the watcher. These
-  /// requests take the place of the probes of `setHealthCheck`. Empty to stop.
+  /// checks take the place of those of `setHealthCheck`. Empty to stop.
   virtual void
   setConfirmationPeriod(std::optional<std::chrono::milliseconds> Period) = 0;
   /// Stores the record of this node's server, unless the stored one supersedes
--- a/libs/gateway/src/feed_task.cpp
+++ b/libs/gateway/src/feed_task.cpp
@@ -123,8 +123,10 @@
   /// Returns whether the state of this node may be sent to followers.
   bool canServe() const { return StoreInSync == true && isComplete(); }
 
+  /// A node that watches the store relies on its watches, so it checks them
+  /// also without followers.
   void updateHealthCheck() {
-    if (servesFollowers())
+    if (servesFollowers() || Source == feed_source::Store)
       Store.setHealthCheck(store_health_check{Times.HealthCheckInterval,
                                               Times.HealthCheckTimeout});
     else
@@ -439,6 +441,7 @@
     StoreInSync.reset();
     FollowerPolls.setConfirmedAt(std::nullopt);
     Store.setWatching(false);
+    updateHealthCheck();
     Node.onSyncState(true);
   }
 
@@ -474,6 +477,7 @@
     StoreUnreachable = false;
     StoreInSync.reset();
     Store.setWatching(true);
+    updateHealthCheck();
   }
 
   void applyUpdate(const feed_update &Update) {
--- a/standins/object_store_standin.cpp
+++ b/standins/object_store_standin.cpp
@@ -96,6 +96,11 @@
     Each.Exchange->abandon();
 }
 
+void object_store_standin::silenceWatches() {
+  for (pending_watch &Each : PendingWatches)
+    Each.Silent = true;
+}
+
 void object_store_standin::executeDelayedWrites() {
   for (const auto &Write : std::exchange(DelayedWrites, {}))
     Write();
@@ -194,7 +199,9 @@
       {std::move(Exchange), Kind, From,
        std::chrono::steady_clock::now() +
            std::chrono::milliseconds(
-               WaitMillis == Query.end() ? 0 : std::stol(WaitMillis->second))});
+               WaitMillis == Query.end() ? 0 : std::stol(WaitMillis->second)),
+       Faults.SilentWatches > 0});
+  Faults.SilentWatches = std::max(0, Faults.SilentWatches - 1);
 }
 
 http1::response object_store_standin::list(const std::string &Kind,
@@ -248,6 +255,8 @@
     return;
   auto Now = std::chrono::steady_clock::now();
   std::erase_if(PendingWatches, [&](pending_watch &Each) {
+    if (Each.Silent)
+      return false;
     json Events = eventsSince(Each.Kind, Each.AfterRevision);
     if (Events.empty() && Now < Each.Deadline)
       return false;
--- a/standins/object_store_standin.h
+++ b/standins/object_store_standin.h
@@ -26,6 +26,8 @@
   bool DelayWrites = false;
   /// Watches do not report changes.
   bool SuppressEvents = false;
+  /// Number of watches to come that get no response on an open connection.
+  int SilentWatches = 0;
   /// Number of revisions by which stale reads lag behind.
   std::uint64_t StaleRevisions = 0;
 };
@@ -54,6 +56,9 @@
   void dropHistory();
   /// Closes the connections of all pending watches without a response.
   void abortWatches();
+  /// Leaves all pending watches without a response, on open connections. Later
+  /// watches work.
+  void silenceWatches();
   std::size_t delayedWrites() const { return DelayedWrites.size(); }
   void executeDelayedWrites();
   /// Sets the limit of calls per second, beyond which calls get status 429; 0
@@ -85,6 +90,8 @@
     std::string Kind;
     std::uint64_t AfterRevision;
     std::chrono::steady_clock::time_point Deadline;
+    /// Gets no response, and its connection stays open.
+    bool Silent = false;
   };
 
   void onRequest(std::shared_ptr<http1::exchange> Exchange);
