--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -403,6 +403,8 @@
       WaitingAcks.push_back(Run);
   }
 
+  /// Publishes the record, then sends the acknowledgements that waited for the
+  /// servers to be known.
   void publishForWaitingAcks() {
     auto Acks = std::exchange(WaitingAcks, {});
     publish([Acks = std::move(Acks)] {
