Do not take a later run for gone because of an older list

What callers would see: a sound server gets no calls after a restart of its node, if the leaving of an earlier run arrives and then a list that is older than the first one and describes that run.

Cause: onStoredRecord compared the unannounced leaving with the record of the list, but then took over the stored record, which may be of a later run.

Change: the leaving is compared with the stored record itself, also if the current server is an earlier run.

Measured: ServerLifecycle.LeavingOfAnEarlierUnknownRunIsIgnored, with such a list, failed before and passes.

--- a/libs/mesh/src/server_lifecycle.cpp
+++ b/libs/mesh/src/server_lifecycle.cpp
@@ -48,7 +48,11 @@
   if (Record.Instance != DeniedInstance &&
       !(StoredRecord && supersedes(*StoredRecord, Record)))
     StoredRecord = Record;
-  if (UnannouncedGone && isSameRun(*UnannouncedGone, Record) && !Current) {
+  bool StoredIsLater =
+      StoredRecord &&
+      (!Current || Current->Incarnation < StoredRecord->Incarnation);
+  if (StoredIsLater && UnannouncedGone &&
+      isSameRun(*UnannouncedGone, *StoredRecord)) {
     adoptStoredRunAsGone();
     return lifecycle_change::Changed;
   }
--- a/libs/mesh/tests/server_lifecycle_test.cpp
+++ b/libs/mesh/tests/server_lifecycle_test.cpp
@@ -187,6 +187,9 @@
 TEST(ServerLifecycle, LeavingOfAnEarlierUnknownRunIsIgnored) {
   Lifecycle.onStoredRecord(makeRecord("i", 4, server_state::Ready));
   CHECK(Lifecycle.onServerGone("i", 3) == lifecycle_change::Unchanged);
+  // A list that is older than the first one describes that run.
+  CHECK(Lifecycle.onStoredRecord(makeRecord("i", 3, server_state::Ready)) ==
+        lifecycle_change::Unchanged);
   expect(lifecycle_change::Changed, makeAnnouncement("i", 4, 9));
   CHECK(Lifecycle.current()->State == server_state::Ready);
   CHECK(Lifecycle.onServerGone("h", 3) == lifecycle_change::Ignored);
