Answer open calls before a stopping node ends

Cause: a node that stops waits for its calls until shortly before the end of the grace period and then ends with all that are still open. A connection sends its responses in the order of the requests, so the responses behind an open call were dropped with it. The reserve of 0.5 s for the exit was also fixed; with a grace period of 3 s it took up the whole last sixth, in which responses given in time are still on their way.

Change: mesh::makeShutdownSchedule divides the grace period. In the middle of its last sixth the node answers the calls that are still open, which releases the responses behind them: 502 or the error of a server if the call may have run, 503 if no server has got it. The node beside the server does the same for calls of other nodes. The process ends as soon as all is sent, and at the latest 1/24 of the grace period before its end.

--- a/libs/gateway/include/gentianlug/gateway/entry_task.h
+++ b/libs/gateway/include/gentianlug/gateway/entry_task.h
@@ -54,6 +54,9 @@
   void rejectNewCalls();
   /// Closes connections without a request in progress.
   void closeIdleConnections();
+  /// Answers all calls in flight with a status of the node's own, because it is
+  /// about to end.
+  void answerOpenCalls();
 
   std::size_t callsInFlight() const;
   /// Returns the number of response bytes that are still to be sent to callers.
--- a/libs/gateway/include/gentianlug/gateway/serving_task.h
+++ b/libs/gateway/include/gentianlug/gateway/serving_task.h
@@ -99,6 +99,9 @@
   rollout::server_evidence evidence();
   /// Returns whether the server is known to be running, so that it gets calls.
   bool isServerConfirmed() const;
+  /// Answers all calls in flight, because this node is about to end. Calls that
+  /// the server has received may have been executed.
+  void answerOpenCalls();
   std::size_t callsInFlight() const;
   /// Returns the number of response bytes that are still to be sent to other
   /// nodes.
--- a/libs/gateway/src/entry_call.cpp
+++ b/libs/gateway/src/entry_call.cpp
@@ -66,6 +66,7 @@
 
 void entry_call::start() {
   auto Self = shared_from_this();
+  Entry.OpenCalls.emplace(this, Self);
   Exchange->onClientDisconnect([Self] { Self->onCallerDisconnected(); });
   const version_name *Chosen =
       Entry.Versions.chooseVersion(Plan.Service, Entry.Context.Gen);
@@ -352,19 +353,24 @@
   send(*Target);
 }
 
-void entry_call::onDeadline() {
+void entry_call::onDeadline() { failDuringAttempts("deadline"); }
+
+void entry_call::onNodeEnding() { failDuringAttempts("node-ending"); }
+
+void entry_call::failDuringAttempts(const std::string &Reason) {
   if (Finished)
     return;
   for (const running_attempt &Attempt : RunningAttempts) {
     MayHaveRun = true;
     recordAttemptOutcome(Attempt.Node, "still running");
   }
-  fail("deadline");
+  fail(Reason);
 }
 
 void entry_call::onCallerDisconnected() {
   auto Self = shared_from_this();
   Finished = true;
+  Entry.OpenCalls.erase(this);
   Entry.Context.Metrics.count("calls_total{outcome=\"caller-gone\"}");
   cancelAttempts();
 }
@@ -426,6 +432,7 @@
 void entry_call::finish(http1::response Response) {
   auto Self = shared_from_this();
   Finished = true;
+  Entry.OpenCalls.erase(this);
   cancelAttempts();
   Entry.Context.Metrics.count("calls_total{outcome=\"" +
                               std::to_string(Response.Status) + "\"}");
--- a/libs/gateway/src/entry_call.h
+++ b/libs/gateway/src/entry_call.h
@@ -14,6 +14,8 @@
   double AttemptMillis = 0;
 };
 
+class entry_call;
+
 /// State of the entry task that is shared by its calls.
 struct entry_state {
   entry_state(task_context Context, node_location Location, serving_task &Local)
@@ -29,6 +31,8 @@
   std::set<zone_name> ZonesOutOfService;
   service_name LocalService;
   std::unordered_map<route_name, route_averages> RouteAverages;
+  /// Calls that have been started and not finished.
+  std::unordered_map<const entry_call *, std::weak_ptr<entry_call>> OpenCalls;
 };
 
 /// Parameters of a call, fixed when it arrives.
@@ -59,6 +63,9 @@
              call_plan Plan);
 
   void start();
+  /// Answers the call now, because the node is about to end. Its attempts are
+  /// canceled.
+  void onNodeEnding();
 
 private:
   struct running_attempt {
@@ -94,6 +101,9 @@
   void recordSuccess(std::size_t ResponseBytes,
                      std::chrono::milliseconds AttemptTime);
   void onDeadline();
+  /// Fails the call without a result of its running attempts, which may have
+  /// been executed.
+  void failDuringAttempts(const std::string &Reason);
   void startHedgedAttempt();
   void onCallerDisconnected();
   void cancelAttempts();
--- a/libs/gateway/src/entry_task.cpp
+++ b/libs/gateway/src/entry_task.cpp
@@ -280,6 +280,12 @@
 
 void entry_task::closeIdleConnections() { Impl->Listener->closeIdle(); }
 
+void entry_task::answerOpenCalls() {
+  for (const auto &[Key, Call] : std::exchange(Impl->Entry.OpenCalls, {}))
+    if (auto Open = Call.lock())
+      Open->onNodeEnding();
+}
+
 std::size_t entry_task::callsInFlight() const {
   return Impl->Listener->pendingRequests();
 }
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -3,6 +3,7 @@
 #include "gentianlug/core/weak_callback.h"
 #include "gentianlug/gateway/feed_task.h"
 #include "gentianlug/mesh/server_lifecycle.h"
+#include "gentianlug/mesh/shutdown_schedule.h"
 #include "gentianlug/mesh/version_checks.h"
 #include "gentianlug/net/timer.h"
 #include "memory_report.h"
@@ -19,14 +20,6 @@
 /// Maximum number of acknowledgements that wait for the first list of servers.
 /// Further ones are sent after `MaxAckDelay`.
 static constexpr std::size_t MaxWaitingAcks = 16;
-/// Time for other nodes to learn that this node is stopping before it rejects
-/// their calls. A rejected call only makes them choose another server.
-static constexpr std::chrono::milliseconds PeerNoticePeriod{500};
-/// The node keeps serving callers of its VM for this time: they need up to two
-/// readiness checks, 1 s apart, to see that it is not ready.
-static constexpr std::chrono::milliseconds CallerNoticePeriod{2500};
-/// Part of the grace period that is reserved for the exit of the process.
-static constexpr std::chrono::milliseconds ProcessExitReserve{500};
 static constexpr std::chrono::milliseconds StopCheckPeriod{50};
 /// Time after a write within which the servers that a relay sends may still
 /// lack the record of this node.
@@ -421,27 +414,41 @@
     return Longest;
   }
 
+  /// Answers the calls that are still in flight. Those of this node's callers
+  /// come first, so that none of them is sent to another server.
+  void answerOpenCalls() {
+    std::size_t Open = Entry.callsInFlight() + Serving.callsInFlight();
+    if (Open == 0)
+      return;
+    Context.Log.write(event::OpenCallsAnswered,
+                      {{"calls", std::int64_t(Open)}});
+    Entry.answerOpenCalls();
+    Serving.answerOpenCalls();
+  }
+
   void advanceStop() {
     auto Now = Context.Clock.steadyNow();
     auto Elapsed = Now - *StopStartedAt;
-    if (Elapsed >= PeerNoticePeriod && !PeerNoticeOver) {
+    mesh::shutdown_schedule Schedule = mesh::makeShutdownSchedule(
+        Settings.Bounds.ShutdownGracePeriod, maxCallTimeout());
+    if (Elapsed >= Schedule.RejectPeerCallsAt && !PeerNoticeOver) {
       PeerNoticeOver = true;
       updateAdmission();
     }
-    if (Elapsed >= CallerNoticePeriod)
+    if (Elapsed >= Schedule.MayEndAt)
       Entry.closeIdleConnections();
     // Callers may still arrive if too few other nodes of the zone are ready.
-    if (Elapsed >= Settings.Bounds.ShutdownGracePeriod - ProcessExitReserve -
-                       maxCallTimeout())
+    if (Elapsed >= Schedule.RejectNewCallsAt)
       Entry.rejectNewCalls();
+    if (Elapsed >= Schedule.AnswerOpenCallsAt)
+      answerOpenCalls();
     bool NoCallInFlight =
         Entry.callsInFlight() == 0 && Serving.callsInFlight() == 0 &&
         Entry.unsentBytes() == 0 && Serving.unsentBytes() == 0;
     // The store must hold the final record: the next process of this node reads
     // from it that the server has left.
     bool Idle = NoCallInFlight && !Store.hasPendingPublish();
-    if ((Elapsed >= CallerNoticePeriod && Idle) ||
-        Elapsed >= Settings.Bounds.ShutdownGracePeriod - ProcessExitReserve) {
+    if ((Elapsed >= Schedule.MayEndAt && Idle) || Elapsed >= Schedule.EndAt) {
       StopTimer.cancel();
       if (auto Action = std::exchange(StopHandler, nullptr))
         Action();
--- a/libs/gateway/src/serving_task.cpp
+++ b/libs/gateway/src/serving_task.cpp
@@ -484,6 +484,26 @@
     Context.Loop.defer(bindWeakly(shared_from_this(), &impl::advance));
   }
 
+  void answerOpenCalls() {
+    constexpr const char *Reason = "node-ending";
+    std::vector<ticket> Tickets;
+    for (const auto &[Ticket, Call] : Calls)
+      Tickets.push_back(Ticket);
+    for (ticket Ticket : Tickets) {
+      auto PoolTicket = Calls.at(Ticket).PoolTicket;
+      if (PoolTicket)
+        Pool.cancel(*PoolTicket);
+      Admission.removeQueued(Ticket);
+      Admission.finish(Ticket, std::nullopt);
+      complete(Ticket, {PoolTicket ? serving_outcome::Unknown
+                                   : serving_outcome::Refused,
+                        {},
+                        Reason,
+                        false,
+                        {}});
+    }
+  }
+
   /// Stops sending calls to the server until a probe or announcement confirms
   /// that it is running.
   void suspendServer(const char *Reason) {
@@ -748,6 +768,8 @@
   return Impl->Admission.confirmed();
 }
 
+void serving_task::answerOpenCalls() { Impl->answerOpenCalls(); }
+
 std::size_t serving_task::callsInFlight() const { return Impl->Calls.size(); }
 
 std::size_t serving_task::unsentBytes() const { return Impl->unsentBytes(); }
--- a/libs/gateway/tests/gateway_node_test.cpp
+++ b/libs/gateway/tests/gateway_node_test.cpp
@@ -46,6 +46,7 @@
   const service_name Service{"s"};
   const address ServerAddress{"127.0.0.1", freePort()};
   address NodeListener;
+  address CallerListener;
   std::unique_ptr<gateway_node> Node;
 
   void setup() override { startNode(std::vector<mesh::server_record>()); }
@@ -56,7 +57,8 @@
     Settings.Location.Zone = zone_name("z");
     Settings.LocalService = Service;
     Settings.ServerAddress = ServerAddress;
-    Settings.CallerListener = {"127.0.0.1", freePort()};
+    CallerListener = {"127.0.0.1", freePort()};
+    Settings.CallerListener = CallerListener;
     NodeListener = {"127.0.0.1", freePort()};
     Settings.NodeListener = NodeListener;
     Node =
@@ -88,6 +90,25 @@
     Record.Incarnation = 1;
     return Record;
   }
+  /// Gives the node what it needs to send calls of /a to \p Server.
+  void serveFrom(const mesh::server_record &Server) const {
+    mesh::route Route;
+    Route.Name = route_name("r");
+    Route.Host = "h";
+    Route.PathPrefix = "/a/";
+    Route.Kind = mesh::call_kind::Idempotent;
+    Route.Timeout = 10s;
+    Route.TargetLatency = 10s;
+    Route.Services = {{Service, 1}};
+    auto Configuration = std::make_shared<mesh::mesh_configuration>();
+    Configuration->Version = 1;
+    Configuration->Routes = {Route};
+    Node->onConfiguration(Configuration);
+    Node->onBaseVersions({{Service, {Server.Version, 1}}});
+    Node->onRollouts({});
+    Node->onZonesOutOfService({});
+    Node->onServers({Server});
+  }
   announcement_status announce(const mesh::server_announcement &Next) const {
     std::optional<announcement_status> Status;
     Node->announce(Next, [&](announcement_status Result) { Status = Result; });
@@ -240,3 +261,38 @@
   Node->deregister("i-1", 1, [&] { Acked = true; });
   runUntil(Environment.Loop, [&] { return Acked; });
 }
+
+// Guards against a stopping node that ends with responses in hand, because they
+// wait behind a call of their connection whose server is still at work
+// (review/11).
+TEST(GatewayNode, ResponsesBehindAnOpenCallAreSentBeforeTheEnd) {
+  std::vector<std::shared_ptr<http1::exchange>> Calls;
+  http1::server Peer(Environment.Loop, {},
+                     [&](std::shared_ptr<http1::exchange> Call) {
+                       Calls.push_back(std::move(Call));
+                     });
+  mesh::server_record Server = ownRecord(mesh::server_state::Ready);
+  Server.Node = node_id("n2");
+  Server.NodeAddress = {"127.0.0.1", freePort()};
+  CHECK(bool(Peer.listen(Server.NodeAddress, {})));
+  serveFrom(Server);
+  http1::byte_client Caller(CallerListener);
+  Caller.send("GET /a/long HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /a/short HTTP/1.1\r\nHost: h\r\n\r\n");
+  runUntil(Environment.Loop, [&] { return Calls.size() == 2; });
+  bool Ended = false;
+  Node->stop([&] { Ended = true; });
+  for (const auto &Call : Calls)
+    if (Call->receivedRequest().Target == "/a/short")
+      Call->respond(encodeServingResult({serving_outcome::Answered,
+                                         http1::makeStatusResponse(200),
+                                         "",
+                                         false,
+                                         {}}));
+  Environment.Clock.advance(mesh::mesh_bounds{}.ShutdownGracePeriod - 500ms);
+  runUntil(Environment.Loop, [&] { return Ended; });
+  Caller.receive();
+  // The first call may have run, so its status promises nothing.
+  CHECK(Caller.Received.starts_with("HTTP/1.1 502 "));
+  CHECK(Caller.Received.find("HTTP/1.1 200 ") != std::string::npos);
+}
--- a/libs/gateway/tests/serving_task_test.cpp
+++ b/libs/gateway/tests/serving_task_test.cpp
@@ -273,3 +273,29 @@
   runUntil(Loop, [&] { return !Leaving.empty(); });
   STRCMP_EQUAL("i", Leaving.c_str());
 }
+
+// Guards against a stopping node that leaves the calls of other nodes open
+// until it ends, so that they learn late that they need another server.
+TEST(ServingTask, OpenCallsAreAnsweredBeforeTheEnd) {
+  startCall("0123456789");
+  Serving.answerOpenCalls();
+  runUntil(Loop, [&] { return Result.has_value(); });
+  // The server has the call.
+  CHECK(Result->Outcome == serving_outcome::Unknown);
+  LONGS_EQUAL(0, Serving.callsInFlight());
+}
+
+// Guards against a status that promises nothing for a call that still waits for
+// a slot when its node ends.
+TEST(ServingTask, QueuedCallsAreRefusedBeforeTheEnd) {
+  peer_call Call;
+  Call.Instance = "i";
+  Call.RemainingTime = Call.MaxQueueTime = 5s;
+  Serving.send({}, Call, {},
+               [&](serving_result Next) { Result = std::move(Next); });
+  // The call is not passed to the server before the next loop iteration.
+  Serving.answerOpenCalls();
+  runUntil(Loop, [&] { return Result.has_value(); });
+  CHECK(Result->Outcome == serving_outcome::Refused);
+  CHECK(ServerCalls.empty());
+}
