Compare revisions of the store within its era

Cause: each comparison of "newer" used the bare revision. A restored store gives lost revisions out again. The list after the restore lost against an object that the store no longer had, since its revision was the higher number, and the watch continued above the configuration that should have replaced it. The header field that names the era was not read.

--- a/fuzz/adapter_fuzz.cpp
+++ b/fuzz/adapter_fuzz.cpp
@@ -48,7 +48,7 @@
 /// Reads the input as a response of the store and encodes what was decoded.
 static void decodeStoreResponse(std::string_view Text) {
   nlohmann::json Value = adapter::parseSharedJson(Text);
-  auto Object = adapter::decodeObject(Value);
+  auto Object = adapter::decodeObject(Value, store_era{});
   if (!Object)
     return;
   (void)adapter::percentEncode(Object->Name);
@@ -88,7 +88,7 @@
   Synthetic.Status = Value;
   (void)adapter::decodeRollout(Synthetic);
   checkServer(Synthetic);
-  if (auto Object = adapter::decodeObject(Value)) {
+  if (auto Object = adapter::decodeObject(Value, store_era{})) {
     (void)adapter::decodeRollout(*Object);
     checkServer(*Object);
   }
--- a/libs/gateway/src/feed_codec.cpp
+++ b/libs/gateway/src/feed_codec.cpp
@@ -140,6 +140,14 @@
   return Record;
 }
 
+static json encode(const store_revision &Revision) {
+  return {std::uint64_t(Revision.Era), Revision.Number};
+}
+
+static store_revision decodeRevision(const json &Value) {
+  return {store_era(Value.at(0).get<std::uint64_t>()), Value.at(1)};
+}
+
 static json encode(const mesh::rollout_record &Record) {
   return {Record.Service.str(),
           Record.TargetVersion.str(),
@@ -150,7 +158,7 @@
           Record.Controller.str(),
           Record.ControllerAddress.str(),
           Record.Reason,
-          Record.Revision,
+          encode(Record.Revision),
           Record.BaseVersion.str(),
           Record.FaultRuledOut};
 }
@@ -166,7 +174,7 @@
   Record.Controller = node_id(Value.at(6).get<std::string>());
   Record.ControllerAddress = decodeAddress(Value.at(7));
   Record.Reason = Value.at(8);
-  Record.Revision = Value.at(9);
+  Record.Revision = decodeRevision(Value.at(9));
   Record.BaseVersion = version_name(Value.at(10).get<std::string>());
   Record.FaultRuledOut = Value.at(11);
   return Record;
@@ -219,7 +227,7 @@
 static json encode(const control_state &Orders) {
   json Bases = json::object();
   for (const auto &[Service, Base] : Orders.BaseVersions)
-    Bases[Service.str()] = {Base.Version.str(), Base.Revision};
+    Bases[Service.str()] = {Base.Version.str(), encode(Base.Revision)};
   json Rollouts = json::array();
   for (const mesh::rollout_record &Record : Orders.Rollouts)
     Rollouts.push_back(encode(Record));
@@ -235,7 +243,8 @@
   control_state Orders;
   for (const auto &[Service, Base] : Value.at("bases").items())
     Orders.BaseVersions[service_name(Service)] = {
-        version_name(Base.at(0).get<std::string>()), Base.at(1)};
+        version_name(Base.at(0).get<std::string>()),
+        decodeRevision(Base.at(1))};
   for (const json &Each : Value.at("rollouts"))
     Orders.Rollouts.push_back(decodeRollout(Each));
   for (const json &Each : Value.at("zones_out"))
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -291,7 +291,7 @@
     const mesh::rollout_record *Rollout = Versions.rollout(Server->Service);
     if (Rollout && Rollout->TargetVersion == Server->Version)
       return;
-    writeBaseVersion(Server->Service, {Server->Version, 0});
+    writeBaseVersion(Server->Service, {Server->Version, {}});
   }
 
   void writeBaseVersion(const service_name &Service,
--- a/libs/gateway/src/rollout_task.cpp
+++ b/libs/gateway/src/rollout_task.cpp
@@ -316,7 +316,7 @@
     const mesh::base_version *Stored =
         Versions.storedBaseVersion(Record.Service);
     mesh::base_version Next{Record.TargetVersion,
-                            Stored ? Stored->Revision : 0};
+                            Stored ? Stored->Revision : store_revision{}};
     // The evidence may change before the store answers, so the next step is
     // decided again.
     Store.publishBaseVersion(
--- a/libs/gateway/tests/gateway_node_test.cpp
+++ b/libs/gateway/tests/gateway_node_test.cpp
@@ -104,7 +104,7 @@
     Configuration->Version = 1;
     Configuration->Routes = {Route};
     Node->onConfiguration(Configuration);
-    Node->onBaseVersions({{Service, {Server.Version, 1}}});
+    Node->onBaseVersions({{Service, {Server.Version, {store_era(1), 1}}}});
     Node->onRollouts({});
     Node->onZonesOutOfService({});
     Node->onServers({Server});
@@ -121,7 +121,7 @@
     Record.TargetVersion = version_name("v2");
     Record.BaseVersion = version_name("v1");
     Record.Stage = mesh::rollout_stage::RolledBack;
-    Record.Revision = 12;
+    Record.Revision = {store_era(1), 12};
     return Record;
   }
 };
@@ -132,17 +132,17 @@
   announce(announcement(1));
   CHECK_EQUAL(1, Store.Published.size());
   Node->onServers(Store.Published);
-  Node->onBaseVersions({{Service, {version_name("v2"), 9}}});
+  Node->onBaseVersions({{Service, {version_name("v2"), {store_era(1), 9}}}});
   Node->onRollouts({rolledBack()});
   Node->onSyncState(true);
   runUntil(Environment.Loop, [&] { return Store.BaseVersions.size() == 1; });
-  mesh::base_version Corrected{version_name("v1"), 9};
+  mesh::base_version Corrected{version_name("v1"), {store_era(1), 9}};
   CHECK(Store.BaseVersions.back() == Corrected);
   // The write fails and is repeated.
   Store.BaseVersionStored(false);
   runUntil(Environment.Loop, [&] { return Store.BaseVersions.size() == 2; });
   CHECK(Store.BaseVersions.back() == Corrected);
-  Node->onBaseVersions({{Service, {version_name("v1"), 13}}});
+  Node->onBaseVersions({{Service, {version_name("v1"), {store_era(1), 13}}}});
   Store.BaseVersionStored(true);
   CHECK_EQUAL(2, Store.BaseVersions.size());
 }
@@ -153,7 +153,7 @@
   announce(announcement(1));
   Node->onServers(Store.Published);
   Node->onRollouts({});
-  Node->onBaseVersions({{Service, {version_name("v2"), 9}}});
+  Node->onBaseVersions({{Service, {version_name("v2"), {store_era(1), 9}}}});
   CHECK(Node->metricsText().find("services_unreachable 1") !=
         std::string::npos);
   Node->onRollouts({rolledBack()});
--- a/libs/gateway/tests/messages_test.cpp
+++ b/libs/gateway/tests/messages_test.cpp
@@ -290,11 +290,13 @@
 
 TEST(Feed, SendsControlState) {
   control_state Control;
-  Control.BaseVersions[service_name("s")] = {version_name("v1"), 6};
+  Control.BaseVersions[service_name("s")] = {version_name("v1"),
+                                             {store_era(2), 6}};
   Control.ZonesOutOfService.insert(zone_name("z"));
   mesh::rollout_record Record;
   Record.Service = service_name("s");
   Record.TargetVersion = version_name("v2");
+  Record.Revision = {store_era(2), 7};
   Record.Stage = mesh::rollout_stage::Running;
   Record.TrafficShare = 0.15;
   Record.Duration = 16s;
--- a/libs/gateway/tests/rollout_task_test.cpp
+++ b/libs/gateway/tests/rollout_task_test.cpp
@@ -61,12 +61,13 @@
     Record.Stage = Stage;
     Record.TrafficShare = 1;
     Record.Controller = node_id("n1");
-    Record.Revision = 5;
+    Record.Revision = {store_era(1), 5};
     return Record;
   }
   void setRollout(const mesh::rollout_record &Record) {
     mesh::version_policy Versions;
-    Versions.setBaseVersion(Record.Service, {version_name("v1"), 3});
+    Versions.setBaseVersion(Record.Service,
+                            {version_name("v1"), {store_era(1), 3}});
     Versions.setRollouts({Record});
     Task->onVersions(Versions);
   }
@@ -149,7 +150,8 @@
   CHECK(Written.Stage == mesh::rollout_stage::RolledBack);
   // A node that starts now reads both objects.
   mesh::version_policy Versions;
-  Versions.setBaseVersion(Written.Service, {Store.BaseVersion, 9});
+  Versions.setBaseVersion(Written.Service,
+                          {Store.BaseVersion, {store_era(1), 9}});
   Versions.setRollouts({Written});
   CHECK(Versions.mayServe(Written.Service, version_name("v1")));
   CHECK_FALSE(Versions.mayServe(Written.Service, Written.TargetVersion));
@@ -193,7 +195,7 @@
   startCompletion();
   mesh::rollout_record Next = record(mesh::rollout_stage::Pending);
   Next.TargetVersion = version_name("v3");
-  Next.Revision = 6;
+  Next.Revision = {store_era(1), 6};
   setRollout(Next);
   Store.BaseVersionWritten(true);
   CHECK(Store.RolloutWrites.empty());
@@ -242,7 +244,7 @@
   setRollout(Record);
   Environment.Clock.advance(5s);
   Record.Controller = node_id("n3");
-  Record.Revision = 6;
+  Record.Revision = {store_era(1), 6};
   setRollout(Record);
   awaitEvaluations();
   CHECK(Store.RolloutWrites.empty());
--- a/libs/mesh/include/gentianlug/mesh/version_policy.h
+++ b/libs/mesh/include/gentianlug/mesh/version_policy.h
@@ -2,6 +2,7 @@
 #define GENTIANLUG_MESH_VERSION_POLICY_H
 
 #include "gentianlug/core/random.h"
+#include "gentianlug/core/store_revision.h"
 #include "gentianlug/mesh/model.h"
 
 #include <unordered_map>
@@ -23,7 +24,7 @@
 struct base_version {
   version_name Version;
   /// Revision of the stored object.
-  object_revision Revision = 0;
+  store_revision Revision;
 
   friend bool operator==(const base_version &, const base_version &) = default;
 };
@@ -53,7 +54,7 @@
   /// the rest speaks for a fault.
   bool FaultRuledOut = false;
   /// Revision of the stored object, and of the rollout order in it.
-  object_revision Revision = 0;
+  store_revision Revision;
 
   friend bool operator==(const rollout_record &,
                          const rollout_record &) = default;
--- a/libs/mesh/tests/version_policy_test.cpp
+++ b/libs/mesh/tests/version_policy_test.cpp
@@ -5,6 +5,10 @@
 using namespace gentianlug;
 using namespace gentianlug::mesh;
 
+static store_revision revision(std::uint64_t Number, std::uint64_t Era = 1) {
+  return {store_era(Era), Number};
+}
+
 TEST_GROUP(VersionPolicy) {
   version_policy Policy;
   generator Gen{7};
@@ -12,15 +16,15 @@
   const version_name Old{"v1"};
   const version_name New{"v2"};
 
-  void setup() override { Policy.setBaseVersion(Service, {Old, 0}); }
+  void setup() override { Policy.setBaseVersion(Service, {Old, revision(0)}); }
   void setRollout(rollout_stage Stage, double Share,
-                  object_revision Revision = 1) {
+                  std::uint64_t Revision = 1) {
     rollout_record Record;
     Record.Service = Service;
     Record.TargetVersion = New;
     Record.Stage = Stage;
     Record.TrafficShare = Share;
-    Record.Revision = Revision;
+    Record.Revision = revision(Revision);
     Policy.setRollouts({Record});
   }
   double newShare() {
@@ -79,8 +83,8 @@
   Record.Service = Service;
   Record.TargetVersion = New;
   Record.BaseVersion = Old;
-  Record.Revision = 5;
-  Policy.setBaseVersion(Service, {New, 9});
+  Record.Revision = revision(5);
+  Policy.setBaseVersion(Service, {New, revision(9)});
   for (rollout_stage Stage :
        {rollout_stage::Pending, rollout_stage::RolledBack}) {
     Record.Stage = Stage;
@@ -103,7 +107,7 @@
   Record.TargetVersion = New;
   Record.BaseVersion = Old;
   Record.Stage = rollout_stage::Switching;
-  Policy.setBaseVersion(Service, {New, 9});
+  Policy.setBaseVersion(Service, {New, revision(9)});
   Policy.setRollouts({Record});
   CHECK_FALSE(Policy.isStoredBaseVersionOutdated(Service));
 }
@@ -116,13 +120,13 @@
   Record.TargetVersion = New;
   Record.BaseVersion = Old;
   Record.Stage = rollout_stage::RolledBack;
-  Record.Revision = 12;
-  Policy.setBaseVersion(Service, {New, 9});
+  Record.Revision = revision(12);
+  Policy.setBaseVersion(Service, {New, revision(9)});
   Policy.setRollouts({Record});
   Policy.setRollouts({});
   CHECK(Policy.mayServe(Service, Old));
   CHECK(Policy.isStoredBaseVersionOutdated(Service));
-  Policy.setBaseVersion(Service, {version_name("v3"), 13});
+  Policy.setBaseVersion(Service, {version_name("v3"), revision(13)});
   CHECK(Policy.mayServe(Service, version_name("v3")));
   CHECK_FALSE(Policy.isStoredBaseVersionOutdated(Service));
 }
--- a/standins/object_store_standin.cpp
+++ b/standins/object_store_standin.cpp
@@ -86,6 +86,19 @@
   return Table == Kinds.end() ? 0 : Table->second.size();
 }
 
+void object_store_standin::restore(const store_copy &Copy) {
+  Kinds = Copy.Kinds;
+  Revision = Copy.Revision;
+  ++Era;
+  dropHistory();
+}
+
+void object_store_standin::respond(http1::exchange &Exchange,
+                                   http1::response Response) const {
+  Response.Headers.add("Store-Era", std::to_string(Era));
+  Exchange.respond(std::move(Response));
+}
+
 void object_store_standin::dropHistory() {
   ChangeLog.clear();
   HistoryStartRevision = Revision;
@@ -148,12 +161,14 @@
     return;
   if (Faults.ErrorStatus != 0 ||
       Faults.RefusedHosts.contains(Exchange->clientAddress().Host))
-    return Exchange->respond(jsonResponse(
-        Faults.ErrorStatus != 0 ? Faults.ErrorStatus : Unavailable, {}));
+    return respond(
+        *Exchange,
+        jsonResponse(Faults.ErrorStatus != 0 ? Faults.ErrorStatus : Unavailable,
+                     {}));
   if (!Stale && exceedsRate())
-    return Exchange->respond(jsonResponse(TooManyRequests, {}));
+    return respond(*Exchange, jsonResponse(TooManyRequests, {}));
   if (!Path.starts_with(Prefix))
-    return Exchange->respond(jsonResponse(NotFound, {}));
+    return respond(*Exchange, jsonResponse(NotFound, {}));
   std::string Rest = Path.substr(std::string(Prefix).size());
   std::size_t Slash = Rest.find('/');
   std::string Kind = Rest.substr(0, Slash);
@@ -173,7 +188,7 @@
   http1::response Response = handleWrite(Request, Kind, Name, Status);
   if (Faults.DropWriteResponses)
     return Exchange->abandon();
-  Exchange->respond(std::move(Response));
+  respond(*Exchange, std::move(Response));
 }
 
 void object_store_standin::handleRead(
@@ -181,19 +196,19 @@
     const std::string &Name, const std::map<std::string, std::string> &Query) {
   if (!Name.empty()) {
     json Object = get(Kind, Name);
-    return Exchange->respond(Object.is_null() ? jsonResponse(NotFound, {})
-                                              : jsonResponse(Ok, Object));
+    return respond(*Exchange, Object.is_null() ? jsonResponse(NotFound, {})
+                                               : jsonResponse(Ok, Object));
   }
   auto Watch = Query.find("watch");
   if (Watch == Query.end()) {
     auto After = Query.find("after");
-    return Exchange->respond(list(Kind,
-                                  After == Query.end() ? "" : After->second,
-                                  Query.contains("staleOk")));
+    return respond(*Exchange,
+                   list(Kind, After == Query.end() ? "" : After->second,
+                        Query.contains("staleOk")));
   }
   std::uint64_t From = std::stoull(Watch->second);
-  if (From < HistoryStartRevision)
-    return Exchange->respond(jsonResponse(Gone, {{"asOf", Revision}}));
+  if (From < HistoryStartRevision || From > Revision)
+    return respond(*Exchange, jsonResponse(Gone, {{"asOf", Revision}}));
   auto WaitMillis = Query.find("waitMs");
   PendingWatches.push_back(
       {std::move(Exchange), Kind, From,
@@ -260,8 +275,8 @@
     json Events = eventsSince(Each.Kind, Each.AfterRevision);
     if (Events.empty() && Now < Each.Deadline)
       return false;
-    Each.Exchange->respond(
-        jsonResponse(Ok, {{"events", std::move(Events)}, {"asOf", Revision}}));
+    respond(*Each.Exchange, jsonResponse(Ok, {{"events", std::move(Events)},
+                                              {"asOf", Revision}}));
     return true;
   });
 }
--- a/standins/object_store_standin.h
+++ b/standins/object_store_standin.h
@@ -41,6 +41,12 @@
 public:
   using json = nlohmann::json;
 
+  /// State of the store at a moment.
+  struct store_copy {
+    std::map<std::string, std::map<std::string, json>> Kinds;
+    std::uint64_t Revision = 0;
+  };
+
   explicit object_store_standin(net::event_loop &Loop);
   /// Starts to listen on \p Address.
   result<void> listen(const address &Address);
@@ -52,6 +58,11 @@
   json get(const std::string &Kind, const std::string &Name) const;
   std::size_t count(const std::string &Kind) const;
 
+  /// Returns a copy of the store to which `restore` can go back.
+  store_copy copy() const { return {Kinds, Revision}; }
+  /// Makes the store come back from \p Copy, in the next era and without its
+  /// history. Pending watches go on.
+  void restore(const store_copy &Copy);
   /// Discards the change history, so that older watches fail with status 410.
   void dropHistory();
   /// Closes the connections of all pending watches without a response.
@@ -101,6 +112,8 @@
   http1::response handleWrite(const http1::request &Request,
                               const std::string &Kind, const std::string &Name,
                               bool Status);
+  /// Sends a response that names the era of the store.
+  void respond(http1::exchange &Exchange, http1::response Response) const;
   http1::response list(const std::string &Kind, const std::string &After,
                        bool Stale) const;
   json eventsSince(const std::string &Kind, std::uint64_t After) const;
@@ -114,6 +127,7 @@
   std::map<std::string, table> Kinds;
   std::deque<change> ChangeLog;
   std::uint64_t Revision = 1;
+  std::uint64_t Era = 1;
   std::uint64_t HistoryStartRevision = 0;
   std::vector<pending_watch> PendingWatches;
   std::vector<std::function<void()>> DelayedWrites;
