Keep what a rollout has decided across a restore of the store

During a rollout the store came back from a copy 4 s old.

Cause: the controller wrote on a revision that the restored store did not have, and the object that came with each refusal was dropped as the older one.

Change: mesh::supersedes compares records of a rollout. Within an era the revision decides, across a restore the later stage of the same order. version_policy keeps the stored record beside the one that holds, so that writes use the revision of the store. The controller stores its stage again before the rollout goes on. A finished rollout is stored again by one node; this is in decision_writer, with the correction of the base version, which gateway_node did before. A base version that a finished rollout has ruled out does not come back with the copy.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -1,5 +1,6 @@
 #include "gentianlug/gateway/gateway_node.h"
 
+#include "decision_writer.h"
 #include "gentianlug/core/weak_callback.h"
 #include "gentianlug/gateway/feed_task.h"
 #include "gentianlug/mesh/server_lifecycle.h"
@@ -24,9 +25,6 @@
 /// Time after a write within which the servers that a relay sends may still
 /// lack the record of this node.
 static constexpr std::chrono::milliseconds RecordPropagationTime{2000};
-/// Time for which the stored base version may differ from the decision of a
-/// rollout before it is corrected. The two objects arrive one after the other.
-static constexpr std::chrono::milliseconds BaseVersionCheckDelay{1000};
 static constexpr std::chrono::milliseconds LogFlushPeriod{200};
 
 static double linkBytesPerSecond(const node_location &Location) {
@@ -56,8 +54,6 @@
   bool ZonesKnown = false;
   bool Stopping = false;
   bool PeerNoticeOver = false;
-  bool BaseVersionWritePending = false;
-  bool BaseVersionCheckPending = false;
   /// Services with ready servers, none of them of the version in use.
   std::set<service_name> UnreachableServices;
   /// Whether the data received from the store is current.
@@ -72,7 +68,7 @@
   net::timer StopTimer;
   net::timer FlushTimer;
   net::timer RecordCheckTimer;
-  net::timer BaseVersionCheckTimer;
+  std::shared_ptr<decision_writer> Decisions;
 
   impl(task_context Context, gateway_settings InitialSettings,
        mesh_store &Store, mesh_watcher &Node,
@@ -88,7 +84,9 @@
         StopTimer(Context.Loop, [this] { advanceStop(); }),
         FlushTimer(Context.Loop, [this] { this->Context.Log.flush(); }),
         RecordCheckTimer(Context.Loop, [this] { checkRecordIsStored(); }),
-        BaseVersionCheckTimer(Context.Loop, [this] { correctBaseVersion(); }) {
+        Decisions(std::make_shared<decision_writer>(
+            Context, Settings.Location.Node, Store,
+            decision_sources{Versions, Servers, Lifecycle})) {
     Entry.onLocalService(Settings.LocalService);
     Rollouts.onBounds(Settings.Bounds);
     Feed.onBounds(Settings.Bounds);
@@ -283,54 +281,8 @@
     publish([] {});
   }
 
-  void proposeBaseVersion() {
-    const auto &Server = Lifecycle.current();
-    if (!Server || !InSync || !BaseVersionsKnown || !RolloutsKnown ||
-        BaseVersionWritePending || Versions.baseVersion(Server->Service))
-      return;
-    const mesh::rollout_record *Rollout = Versions.rollout(Server->Service);
-    if (Rollout && Rollout->TargetVersion == Server->Version)
-      return;
-    writeBaseVersion(Server->Service, {Server->Version, {}});
-  }
-
-  void writeBaseVersion(const service_name &Service,
-                        const mesh::base_version &Next) {
-    BaseVersionWritePending = true;
-    Store.publishBaseVersion(
-        Service, Next, bindWeakly(shared_from_this(), [](impl &Self, bool) {
-          Self.BaseVersionWritePending = false;
-          Self.checkBaseVersion();
-        }));
-  }
-
-  /// Returns whether this node has to correct the stored base version of the
-  /// service of its server.
-  bool isBaseVersionWriter() const {
-    const auto &Server = Lifecycle.current();
-    if (!Server || !InSync || !BaseVersionsKnown || !RolloutsKnown ||
-        !Versions.isStoredBaseVersionOutdated(Server->Service))
-      return false;
-    return mesh::selectBaseVersionWriter(
-               Servers, Server->Service,
-               *Versions.baseVersion(Server->Service)) ==
-           Settings.Location.Node;
-  }
-
-  void checkBaseVersion() {
-    if (BaseVersionWritePending || !isBaseVersionWriter() ||
-        std::exchange(BaseVersionCheckPending, true))
-      return;
-    BaseVersionCheckTimer.startOnce(BaseVersionCheckDelay);
-  }
-
-  void correctBaseVersion() {
-    BaseVersionCheckPending = false;
-    if (BaseVersionWritePending || !isBaseVersionWriter())
-      return;
-    const service_name &Service = Lifecycle.current()->Service;
-    writeBaseVersion(Service, {*Versions.baseVersion(Service),
-                               Versions.storedBaseVersion(Service)->Revision});
+  void updateDecisionWriter() {
+    Decisions->setCurrent(InSync && BaseVersionsKnown && RolloutsKnown);
   }
 
   void reportUnreachableServices() {
@@ -355,8 +307,7 @@
     Entry.onVersions(Versions);
     Rollouts.onVersions(Versions);
     updateAdmission();
-    proposeBaseVersion();
-    checkBaseVersion();
+    updateDecisionWriter();
     reportUnreachableServices();
   }
 
@@ -371,7 +322,7 @@
                        {"cold_for_ms", Current.RemainingColdTime},
                        {"why", Reason}});
     updateLocalServer();
-    proposeBaseVersion();
+    Decisions->check();
   }
 
   /// Runs \p Ack when the servers are known and the record of a leaving server
@@ -578,7 +529,7 @@
   Impl->Rollouts.onServers(Impl->Servers);
   if (Impl->Usage)
     Impl->Usage->onServers(Impl->Servers);
-  Impl->checkBaseVersion();
+  Impl->Decisions->check();
   Impl->reportUnreachableServices();
   if (const auto &Current = Impl->Lifecycle.current()) {
     auto Count =
@@ -602,7 +553,7 @@
 
 void gateway_node::onRollouts(std::vector<mesh::rollout_record> Rollouts) {
   Impl->RolloutsKnown = true;
-  Impl->Versions.setRollouts(Rollouts);
+  Impl->Versions.setRollouts(Rollouts, Impl->Context.Clock.steadyNow());
   Impl->onVersionsChanged();
 }
 
@@ -619,8 +570,7 @@
 void gateway_node::onSyncState(bool InSync) {
   Impl->InSync = InSync;
   Impl->Entry.setConfigurationCurrent(InSync);
-  Impl->proposeBaseVersion();
-  Impl->checkBaseVersion();
+  Impl->updateDecisionWriter();
 }
 
 void gateway_node::onConfigurationConfirmed(steady_time AsOf) {
--- a/libs/gateway/src/rollout_task.cpp
+++ b/libs/gateway/src/rollout_task.cpp
@@ -295,10 +295,17 @@
     auto Next = Controller.nextRecord({NewServers, maxCallTimeout()}, Now);
     bool TakeOver = !Controller.record().Controller.empty() &&
                     Controller.record().Controller != Node;
-    if (!Next && TakeOver)
+    // What the store has lost in a restore is stored again before the rollout
+    // goes on. A rollback needs no earlier stage.
+    bool IsLost = Versions.isStoredRolloutOutdated(Server->Service);
+    bool RollsBack = Next && Next->Stage == mesh::rollout_stage::RolledBack;
+    if ((!Next && TakeOver) || (IsLost && !RollsBack))
       Next = Controller.record();
-    if (!Next)
+    const mesh::rollout_record *Stored =
+        Versions.storedRollout(Server->Service);
+    if (!Next || !Stored)
       return;
+    Next->Revision = Stored->Revision;
     Next->Controller = Node;
     Next->ControllerAddress = NodeAddress;
     Rollout->WritePending = true;
--- a/libs/gateway/tests/gateway_node_test.cpp
+++ b/libs/gateway/tests/gateway_node_test.cpp
@@ -30,12 +30,17 @@
     BaseVersions.push_back(Next);
     BaseVersionStored = std::move(Done);
   }
-  void writeRollout(const mesh::rollout_record &,
-                    std::function<void(bool)>) override {}
+  void writeRollout(const mesh::rollout_record &Record,
+                    std::function<void(bool)> Done) override {
+    Rollouts.push_back(Record);
+    RolloutWritten = std::move(Done);
+  }
 
   std::vector<mesh::server_record> Published;
   std::vector<mesh::base_version> BaseVersions;
   std::function<void(bool)> BaseVersionStored;
+  std::vector<mesh::rollout_record> Rollouts;
+  std::function<void(bool)> RolloutWritten;
 };
 
 } // namespace
@@ -296,3 +301,28 @@
   CHECK(Caller.Received.starts_with("HTTP/1.1 502 "));
   CHECK(Caller.Received.find("HTTP/1.1 200 ") != std::string::npos);
 }
+
+// Guards against a decision that lives on in the memory of the nodes only,
+// after the store has come back from an older copy.
+TEST(GatewayNode, FinishedRolloutIsStoredAgainAfterARestore) {
+  announce(announcement(1));
+  Node->onServers(Store.Published);
+  Node->onBaseVersions({{Service, {version_name("v1"), {store_era(1), 9}}}});
+  mesh::rollout_record Known = rolledBack();
+  Known.Duration = 100s;
+  Node->onRollouts({Known});
+  Node->onSyncState(true);
+  mesh::rollout_record Copy = Known;
+  Copy.Stage = mesh::rollout_stage::Running;
+  Copy.Revision = {store_era(2), 10};
+  Node->onRollouts({Copy});
+  runUntil(Environment.Loop, [&] { return Store.Rollouts.size() == 1; });
+  CHECK(Store.Rollouts.back().Stage == mesh::rollout_stage::RolledBack);
+  CHECK(Store.Rollouts.back().Revision == Copy.Revision);
+  // Another writer was faster, and the write is repeated on its revision.
+  Copy.Revision = {store_era(2), 11};
+  Node->onRollouts({Copy});
+  Store.RolloutWritten(false);
+  runUntil(Environment.Loop, [&] { return Store.Rollouts.size() == 2; });
+  CHECK(Store.Rollouts.back().Revision == Copy.Revision);
+}
--- a/libs/gateway/tests/rollout_task_test.cpp
+++ b/libs/gateway/tests/rollout_task_test.cpp
@@ -68,7 +68,7 @@
     mesh::version_policy Versions;
     Versions.setBaseVersion(Record.Service,
                             {version_name("v1"), {store_era(1), 3}});
-    Versions.setRollouts({Record});
+    Versions.setRollouts({Record}, Environment.Clock.steadyNow());
     Task->onVersions(Versions);
   }
   void setServer(bool Present) {
@@ -152,7 +152,7 @@
   mesh::version_policy Versions;
   Versions.setBaseVersion(Written.Service,
                           {Store.BaseVersion, {store_era(1), 9}});
-  Versions.setRollouts({Written});
+  Versions.setRollouts({Written}, Environment.Clock.steadyNow());
   CHECK(Versions.mayServe(Written.Service, version_name("v1")));
   CHECK_FALSE(Versions.mayServe(Written.Service, Written.TargetVersion));
   const version_name *Chosen =
@@ -270,3 +270,34 @@
   setRollout(Record);
   runUntil(Environment.Loop, [&] { return Received.size() == 2; });
 }
+
+// Guards against a stage that only the memory of the nodes holds after a
+// restore of the store: a node that restarts follows the earlier one, whose
+// servers stop when the rollout is completed.
+TEST(RolloutTask, LostStageIsStoredAgainBeforeTheRolloutGoesOn) {
+  mesh::version_policy Versions;
+  Versions.setBaseVersion(service_name("s"),
+                          {version_name("v1"), {store_era(1), 3}});
+  mesh::rollout_record Known = record(mesh::rollout_stage::Switching);
+  Versions.setRollouts({Known}, Environment.Clock.steadyNow());
+  setServer(true);
+  Task->onVersions(Versions);
+  sendEvidence();
+  Environment.Clock.advance(2s);
+  mesh::rollout_record Copy = record(mesh::rollout_stage::Running);
+  Copy.Revision = {store_era(2), 4};
+  Copy.Elapsed = 70s;
+  Versions.setRollouts({Copy}, Environment.Clock.steadyNow());
+  Task->onVersions(Versions);
+  runUntil(Environment.Loop, [&] { return !Store.RolloutWrites.empty(); });
+  CHECK(Store.RolloutWrites.back().Stage == mesh::rollout_stage::Switching);
+  CHECK(Store.RolloutWrites.back().Revision == Copy.Revision);
+  LONGS_EQUAL(0, Store.BaseVersionWrites);
+  // The old servers need their time from now on.
+  Known.Revision = {store_era(2), 5};
+  Versions.setRollouts({Known}, Environment.Clock.steadyNow());
+  Task->onVersions(Versions);
+  Store.RolloutWritten(true);
+  awaitEvaluations();
+  LONGS_EQUAL(0, Store.BaseVersionWrites);
+}
--- a/libs/mesh/include/gentianlug/mesh/version_policy.h
+++ b/libs/mesh/include/gentianlug/mesh/version_policy.h
@@ -1,6 +1,7 @@
 #ifndef GENTIANLUG_MESH_VERSION_POLICY_H
 #define GENTIANLUG_MESH_VERSION_POLICY_H
 
+#include "gentianlug/core/clock.h"
 #include "gentianlug/core/random.h"
 #include "gentianlug/core/store_revision.h"
 #include "gentianlug/mesh/model.h"
@@ -63,6 +64,17 @@
 /// Returns whether the rollout has reached its final stage.
 bool isFinished(const rollout_record &Record);
 
+/// Returns whether \p Known is the later state of a rollout than \p Read, which
+/// may come from a relay that lags behind, or from a store that has come back
+/// from an older copy.
+///
+/// Within one era the revisions decide. Across a restore they say nothing: of
+/// two records of the same order, which is identified by its target version and
+/// duration, the one of the later stage wins, and within a stage the one that
+/// was written later. Two final stages are no exception: the stored one wins,
+/// because the old or the new servers have been stopped for it.
+bool supersedes(const rollout_record &Known, const rollout_record &Read);
+
 /// Decides which version of each service receives calls.
 class version_policy {
 public:
@@ -70,17 +82,24 @@
   void setBaseVersion(const service_name &Service, base_version Stored);
   /// Returns the version that receives calls while no rollout is active, or
   /// null: the one that the rollout record names, or else the later one of the
-  /// stored base version and the last removed record.
+  /// stored base version and the last removed record. After a restore of the
+  /// store, the record is the later one if it has ruled the stored version out.
   const version_name *baseVersion(const service_name &Service) const;
   /// Returns the stored base version, or null.
   const base_version *storedBaseVersion(const service_name &Service) const;
   /// Returns whether the stored base version differs from the one that a
   /// finished rollout has decided.
   bool isStoredBaseVersionOutdated(const service_name &Service) const;
-  /// Replaces the rollout records. An older revision of a known record does
+  /// Replaces the rollout records. A record that a known one supersedes does
   /// not replace it.
-  void setRollouts(const std::vector<rollout_record> &Records);
+  void setRollouts(const std::vector<rollout_record> &Records, steady_time Now);
   const rollout_record *rollout(const service_name &Service) const;
+  /// Returns the rollout record as the store holds it, or null. It differs from
+  /// `rollout` only if the store has lost what that one says.
+  const rollout_record *storedRollout(const service_name &Service) const;
+  /// Returns whether the store has come back from a copy that lacks the state
+  /// of the rollout, so that it has to be stored again.
+  bool isStoredRolloutOutdated(const service_name &Service) const;
 
   /// Selects the version for the next call of \p Service, or null if none is
   /// known.
@@ -90,10 +109,39 @@
   bool mayServe(const service_name &Service, const version_name &Version) const;
 
 private:
+  /// What a rollout record says about the base version.
+  struct base_decision {
+    version_name Version;
+    /// The version that a finished rollout has replaced or rolled back; empty
+    /// if it is not finished.
+    version_name RuledOut;
+    store_revision Revision;
+  };
+  struct removed_rollout {
+    rollout_record Record;
+    steady_time RemovedAt;
+  };
+  using record_table = std::unordered_map<service_name, rollout_record>;
+
+  /// Returns the latest known state of the rollout of \p Service, or null.
+  const rollout_record *latestRecord(const record_table &Before,
+                                     const service_name &Service) const;
+  /// Remembers the finished rollouts of \p Before that are no longer there.
+  void rememberRemoved(const record_table &Before, steady_time Now);
+  static base_decision decisionOf(const rollout_record &Record,
+                                  const version_name &Version);
+  /// Returns whether \p Decided is later than \p Stored.
+  static bool holdsAgainst(const base_decision &Decided,
+                           const base_version &Stored);
+
   std::unordered_map<service_name, base_version> StoredBaseVersions;
-  /// Base versions by the records that have been seen, with their revisions.
-  std::unordered_map<service_name, base_version> DecidedBaseVersions;
-  std::unordered_map<service_name, rollout_record> Rollouts;
+  /// Decisions of the records that have been seen.
+  std::unordered_map<service_name, base_decision> Decisions;
+  record_table StoredRollouts;
+  record_table Rollouts;
+  /// Finished rollouts that the store no longer holds, and since when. A copy
+  /// of the store may bring an earlier stage back.
+  std::unordered_map<service_name, removed_rollout> RemovedRollouts;
 };
 
 } // namespace gentianlug::mesh
--- a/libs/mesh/src/rollout_controller.cpp
+++ b/libs/mesh/src/rollout_controller.cpp
@@ -111,7 +111,10 @@
 }
 
 void rollout_controller::onRecord(const rollout_record &Next, steady_time Now) {
-  if (Next.Stage != Record.Stage || Next.TrafficShare != Record.TrafficShare)
+  // After a restore, a node may have followed an earlier stage until this one
+  // was stored again.
+  if (Next.Stage != Record.Stage || Next.TrafficShare != Record.TrafficShare ||
+      Next.Revision.Era != Record.Revision.Era)
     StepStartedAt = Now;
   if (Next.Stage == rollout_stage::Switching &&
       Record.Stage == rollout_stage::Running)
--- a/libs/mesh/tests/version_policy_test.cpp
+++ b/libs/mesh/tests/version_policy_test.cpp
@@ -15,17 +15,24 @@
   const service_name Service{"s"};
   const version_name Old{"v1"};
   const version_name New{"v2"};
+  const steady_time Now{};
 
   void setup() override { Policy.setBaseVersion(Service, {Old, revision(0)}); }
-  void setRollout(rollout_stage Stage, double Share,
-                  std::uint64_t Revision = 1) {
+  rollout_record record(rollout_stage Stage, const store_revision &Revision)
+      const {
     rollout_record Record;
     Record.Service = Service;
     Record.TargetVersion = New;
+    Record.BaseVersion = Old;
     Record.Stage = Stage;
+    Record.Revision = Revision;
+    return Record;
+  }
+  void setRollout(rollout_stage Stage, double Share,
+                  std::uint64_t Revision = 1) {
+    rollout_record Record = record(Stage, revision(Revision));
     Record.TrafficShare = Share;
-    Record.Revision = revision(Revision);
-    Policy.setRollouts({Record});
+    Policy.setRollouts({Record}, Now);
   }
   double newShare() {
     int Count = 0;
@@ -72,7 +79,7 @@
   setRollout(rollout_stage::Completed, 1);
   CHECK(Policy.mayServe(Service, New));
   CHECK_FALSE(Policy.mayServe(Service, Old));
-  Policy.setRollouts({});
+  Policy.setRollouts({}, Now);
   CHECK(Policy.mayServe(Service, New));
 }
 
@@ -88,13 +95,13 @@
   for (rollout_stage Stage :
        {rollout_stage::Pending, rollout_stage::RolledBack}) {
     Record.Stage = Stage;
-    Policy.setRollouts({Record});
+    Policy.setRollouts({Record}, Now);
     CHECK(Policy.mayServe(Service, Old));
     CHECK_FALSE(Policy.mayServe(Service, New));
   }
   CHECK(Policy.isStoredBaseVersionOutdated(Service));
   Record.Stage = rollout_stage::Completed;
-  Policy.setRollouts({Record});
+  Policy.setRollouts({Record}, Now);
   CHECK(Policy.mayServe(Service, New));
   CHECK_FALSE(Policy.isStoredBaseVersionOutdated(Service));
 }
@@ -108,7 +115,7 @@
   Record.BaseVersion = Old;
   Record.Stage = rollout_stage::Switching;
   Policy.setBaseVersion(Service, {New, revision(9)});
-  Policy.setRollouts({Record});
+  Policy.setRollouts({Record}, Now);
   CHECK_FALSE(Policy.isStoredBaseVersionOutdated(Service));
 }
 
@@ -122,8 +129,8 @@
   Record.Stage = rollout_stage::RolledBack;
   Record.Revision = revision(12);
   Policy.setBaseVersion(Service, {New, revision(9)});
-  Policy.setRollouts({Record});
-  Policy.setRollouts({});
+  Policy.setRollouts({Record}, Now);
+  Policy.setRollouts({}, Now);
   CHECK(Policy.mayServe(Service, Old));
   CHECK(Policy.isStoredBaseVersionOutdated(Service));
   Policy.setBaseVersion(Service, {version_name("v3"), revision(13)});
@@ -137,3 +144,91 @@
   setRollout(rollout_stage::Running, 0.5, 8);
   CHECK_FALSE(Policy.mayServe(Service, New));
 }
+
+// Guards against a rollout that goes back, or back to life, because a record of
+// a restored store has the higher or the lower number: of the same order, the
+// later stage wins.
+TEST(VersionPolicy, RecordsAreComparedAcrossARestore) {
+  using stage = rollout_stage;
+  struct comparison {
+    stage Known;
+    int KnownElapsed;
+    stage Read;
+    int ReadElapsed;
+    bool KnownWins;
+  };
+  const comparison Comparisons[] = {
+      {stage::RolledBack, 9, stage::Running, 3, true},
+      {stage::Completed, 9, stage::Switching, 8, true},
+      {stage::Switching, 6, stage::Running, 3, true},
+      {stage::Running, 5, stage::Running, 3, true},
+      {stage::Running, 5, stage::Running, 5, false},
+      {stage::Running, 5, stage::Pending, 0, true},
+      {stage::Pending, 0, stage::Running, 3, false},
+      {stage::Running, 5, stage::RolledBack, 4, false},
+      // The servers of one version have been stopped for the stored one.
+      {stage::RolledBack, 9, stage::Completed, 8, false},
+  };
+  for (const comparison &Each : Comparisons)
+    for (std::uint64_t KnownNumber : {5, 50}) {
+      rollout_record Known = record(Each.Known, revision(KnownNumber, 1));
+      rollout_record Read = record(Each.Read, revision(20, 2));
+      Known.Elapsed = std::chrono::seconds(Each.KnownElapsed);
+      Read.Elapsed = std::chrono::seconds(Each.ReadElapsed);
+      CHECK_EQUAL(Each.KnownWins, supersedes(Known, Read));
+      // Another order, and a relay that has not heard of the restore.
+      CHECK(supersedes(Read, Known));
+      Read.TargetVersion = version_name("v3");
+      CHECK_FALSE(supersedes(Known, Read));
+    }
+}
+
+// Guards against a bad version that gets calls again, and a decision that is
+// lost with the next restart, after the store has come back from a copy with an
+// earlier stage (review/15).
+TEST(VersionPolicy, DecisionsOutliveARestore) {
+  setRollout(rollout_stage::RolledBack, 0, 30);
+  rollout_record Copy = record(rollout_stage::Running, revision(12, 2));
+  Copy.TrafficShare = 1;
+  for (int Read = 0; Read < 2; ++Read) {
+    Policy.setRollouts({Copy}, Now);
+    CHECK_FALSE(Policy.mayServe(Service, New));
+    DOUBLES_EQUAL(0, newShare(), 0);
+    CHECK(Policy.isStoredRolloutOutdated(Service));
+    CHECK(Policy.storedRollout(Service)->Revision == revision(12, 2));
+  }
+  Policy.setRollouts({record(rollout_stage::RolledBack, revision(13, 2))}, Now);
+  CHECK_FALSE(Policy.isStoredRolloutOutdated(Service));
+  // The same order again, in the same era, is a new one.
+  Policy.setRollouts({}, Now);
+  Policy.setRollouts({record(rollout_stage::Running, revision(15, 2))}, Now);
+  CHECK(Policy.mayServe(Service, New));
+}
+
+// Guards against a decision that is forgotten because the copy lacks the order,
+// or because the operator had removed it; and against one that binds an order
+// which the operator gives much later.
+TEST(VersionPolicy, DecisionsOfRemovedOrdersOutliveARestore) {
+  using namespace std::chrono_literals;
+  for (auto Later : {5s, 60s}) {
+    Policy = {};
+    Policy.setBaseVersion(Service, {Old, revision(1)});
+    setRollout(rollout_stage::RolledBack, 0, 30);
+    Policy.setRollouts({}, Now);
+    Policy.setRollouts({record(rollout_stage::Running, revision(12, 2))},
+                       Now + Later);
+    CHECK_EQUAL(Later > 30s, Policy.mayServe(Service, New));
+  }
+}
+
+// Guards against a return to servers that have stopped: the copy holds the base
+// version of before a completed rollout.
+TEST(VersionPolicy, RuledOutBaseVersionOfACopyIsNotUsed) {
+  setRollout(rollout_stage::Completed, 1, 30);
+  Policy.setRollouts({}, Now);
+  Policy.setBaseVersion(Service, {Old, revision(40, 2)});
+  CHECK(*Policy.baseVersion(Service) == New);
+  CHECK(Policy.isStoredBaseVersionOutdated(Service));
+  Policy.setBaseVersion(Service, {version_name("v3"), revision(41, 2)});
+  CHECK(*Policy.baseVersion(Service) == version_name("v3"));
+}
