Keep the leaving of a server across a restore of the store

A leaving that was acknowledged after the copy was made is not in a restored store.

Cause: a node checked only that the store holds some record of it, so that it did not store the leaving again. Other nodes took the server for a ready one from the next list on, and a restarted node of the server believed the store.

Servers that a node knows as leaving stay so within their run, whatever a list says (mesh::keepLeavings).

GatewayNode.LeavingIsStoredAgainAfterARestore failed before the change and passes with it.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -61,7 +61,10 @@
   std::optional<steady_time> StopStartedAt;
   std::function<void()> StopHandler;
   std::optional<mesh::server_record> PublishedRecord;
+  /// When it was passed to the store or, later, when the store had it.
   steady_time PublishedAt{};
+  /// Record of this node in the last list of servers.
+  std::optional<mesh::server_record> ListedRecord;
   /// Acknowledgements that wait for the first list of servers.
   std::vector<std::function<void()>> WaitingAcks;
   std::optional<local_server> LocalServer;
@@ -244,6 +247,7 @@
         Next, bindWeakly(shared_from_this(),
                          [Next, Done = std::move(Done)](
                              impl &Self, const mesh::server_record &Stored) {
+                           Self.PublishedAt = Self.Context.Clock.steadyNow();
                            if (Stored != Next)
                              Self.onRecordSuperseded(Stored);
                            Done();
@@ -266,13 +270,21 @@
             Record.Service == Settings.LocalService);
   }
 
-  /// Publishes the record of this node again if the store has lost it, or if
-  /// another writer has replaced it.
+  /// Returns whether the last list of servers holds the published record or a
+  /// later one.
+  bool isRecordListed() const {
+    if (!ListedRecord)
+      return false;
+    mesh::server_record Expected = *PublishedRecord;
+    Expected.Sequence = ListedRecord->Sequence;
+    return *ListedRecord == Expected ||
+           mesh::supersedes(*ListedRecord, *PublishedRecord);
+  }
+
+  /// Publishes the record of this node again if another writer has replaced it,
+  /// or if the store has lost it or come back from a copy with an earlier one.
   void checkRecordIsStored() {
-    bool Stored = std::any_of(
-        Servers.begin(), Servers.end(),
-        [&](const mesh::server_record &Record) { return isOwnRecord(Record); });
-    if (Stored || !PublishedRecord)
+    if (!PublishedRecord || isRecordListed())
       return;
     auto Age = Context.Clock.steadyNow() - PublishedAt;
     if (Age < RecordPropagationTime || Store.hasPendingPublish())
@@ -516,14 +528,16 @@
                             [&](const mesh::server_record &Record) {
                               return Impl->isOwnRecord(Record);
                             });
+  Impl->ListedRecord.reset();
   if (Found != Servers.end()) {
+    Impl->ListedRecord = *Found;
     if (First && Impl->Usage)
       Impl->Usage->onPredecessorFound();
     if (Impl->Lifecycle.onStoredRecord(*Found) ==
         mesh::lifecycle_change::Changed)
       Impl->onServerChanged("stored as leaving");
   }
-  Impl->Servers = std::move(Servers);
+  Impl->Servers = mesh::keepLeavings(std::move(Servers), Impl->Servers);
   Impl->checkRecordIsStored();
   Impl->Entry.onServers(Impl->Servers);
   Impl->Rollouts.onServers(Impl->Servers);
--- a/libs/gateway/tests/gateway_node_test.cpp
+++ b/libs/gateway/tests/gateway_node_test.cpp
@@ -326,3 +326,22 @@
   runUntil(Environment.Loop, [&] { return Store.Rollouts.size() == 2; });
   CHECK(Store.Rollouts.back().Revision == Copy.Revision);
 }
+
+// Guards against a leaving that a restored store has lost and nobody stores
+// again: the next process of the node would take the server for a ready one.
+TEST(GatewayNode, LeavingIsStoredAgainAfterARestore) {
+  announce(announcement(1));
+  mesh::server_record Ready = Store.Published.back();
+  Node->onServers({Ready});
+  Node->deregister("i-1", 1, [] {});
+  mesh::server_record Gone = Store.Published.back();
+  CHECK(Gone.State == mesh::server_state::Gone);
+  Node->onServers({Gone});
+  Environment.Clock.advance(3s);
+  std::size_t Before = Store.Published.size();
+  Node->onServers({Gone});
+  CHECK_EQUAL(Before, Store.Published.size());
+  Node->onServers({Ready});
+  CHECK_EQUAL(Before + 1, Store.Published.size());
+  CHECK(Store.Published.back() == Gone);
+}
--- a/libs/mesh/include/gentianlug/mesh/server_lifecycle.h
+++ b/libs/mesh/include/gentianlug/mesh/server_lifecycle.h
@@ -33,6 +33,13 @@
 /// predecessor left.
 bool supersedes(const server_record &Stored, const server_record &Next);
 
+/// Returns \p Read, in which the servers that are leaving in \p Known are still
+/// leaving. The list may come from a store that has been restored from an older
+/// copy, which holds them as ready. A later run is another server.
+std::vector<server_record>
+keepLeavings(std::vector<server_record> Read,
+             const std::vector<server_record> &Known);
+
 /// Tracks the state of the local server across restarts.
 ///
 /// Announcements may arrive late, more than once and out of order. A run of the
--- a/libs/mesh/src/server_lifecycle.cpp
+++ b/libs/mesh/src/server_lifecycle.cpp
@@ -1,5 +1,7 @@
 #include "gentianlug/mesh/server_lifecycle.h"
 
+#include <unordered_map>
+
 namespace gentianlug::mesh {
 
 /// Returns how far the server has left; never decreases within one run.
@@ -32,6 +34,24 @@
           leavingRank(Stored.State) > leavingRank(Next.State));
 }
 
+std::vector<server_record>
+keepLeavings(std::vector<server_record> Read,
+             const std::vector<server_record> &Known) {
+  std::unordered_map<node_id, const server_record *> Leaving;
+  for (const server_record &Record : Known)
+    if (isLeaving(Record.State))
+      Leaving.emplace(Record.Node, &Record);
+  if (Leaving.empty())
+    return Read;
+  for (server_record &Record : Read) {
+    auto Found = Leaving.find(Record.Node);
+    if (Found != Leaving.end() && isSameRun(*Found->second, Record) &&
+        supersedes(*Found->second, Record))
+      Record = *Found->second;
+  }
+  return Read;
+}
+
 const char *findIdentityMismatch(const server_identity &Identity,
                                  const server_announcement &Announcement) {
   if (!Identity.Service.empty() && Announcement.Service != Identity.Service)
--- a/libs/mesh/tests/server_lifecycle_test.cpp
+++ b/libs/mesh/tests/server_lifecycle_test.cpp
@@ -214,3 +214,27 @@
   expect(lifecycle_change::Changed, makeAnnouncement("i", 2, 1));
   CHECK(Lifecycle.current()->State == server_state::Ready);
 }
+
+// Guards against a server that gets calls again because a restored store lists
+// it as it was before it left.
+TEST(ServerLifecycle, ListsDoNotUndoLeavings) {
+  server_record Ready;
+  Ready.Node = node_id("n1");
+  Ready.Instance = "i-1";
+  Ready.Incarnation = 5;
+  server_record Draining = Ready;
+  Draining.State = server_state::Draining;
+  server_record Gone = Ready;
+  Gone.State = server_state::Gone;
+  server_record NextRun = Ready;
+  NextRun.Instance = "i-2";
+  for (incarnation_number Incarnation : {4, 6}) {
+    NextRun.Incarnation = Incarnation;
+    CHECK(keepLeavings({NextRun}, {Gone}) == std::vector{NextRun});
+  }
+  CHECK(keepLeavings({Ready}, {Draining}) == std::vector{Draining});
+  CHECK(keepLeavings({Ready}, {Gone}) == std::vector{Gone});
+  CHECK(keepLeavings({Draining}, {Gone}) == std::vector{Gone});
+  CHECK(keepLeavings({Gone}, {Draining}) == std::vector{Gone});
+  CHECK(keepLeavings({}, {Gone}).empty());
+}
