Store a base version again that a restored store lacks

Found while the store's restore was read through: if the copy has no base version of a service, its rollouts can't be completed.

Cause: version_policy kept the stored base versions that a list no longer holds. The controller wrote the target on the revision of the lost object, which is refused, at each evaluation until the rollout ran out of time. A process that started later would have proposed the version of its own server.

Change: a list replaces the stored base versions. One that is gone holds until a later one is decided or stored, and decision_writer creates it again.

--- a/libs/gateway/src/decision_writer.cpp
+++ b/libs/gateway/src/decision_writer.cpp
@@ -65,8 +65,9 @@
   if (isRolloutLost(Service))
     return restoreRollout(Service);
   const mesh::version_policy &Versions = Sources.Versions;
+  const mesh::base_version *Stored = Versions.storedBaseVersion(Service);
   writeBaseVersion(Service, {*Versions.baseVersion(Service),
-                             Versions.storedBaseVersion(Service)->Revision});
+                             Stored ? Stored->Revision : store_revision{}});
 }
 
 void decision_writer::restoreRollout(const service_name &Service) {
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -560,8 +560,7 @@
 void gateway_node::onBaseVersions(
     std::map<service_name, mesh::base_version> Versions) {
   Impl->BaseVersionsKnown = true;
-  for (const auto &[Service, Version] : Versions)
-    Impl->Versions.setBaseVersion(Service, Version);
+  Impl->Versions.setBaseVersions(std::move(Versions));
   Impl->onVersionsChanged();
 }
 
--- a/libs/gateway/tests/entry_task_test.cpp
+++ b/libs/gateway/tests/entry_task_test.cpp
@@ -76,8 +76,8 @@
     Configuration->Routes = {Route};
     Entry->onConfiguration(Configuration);
     mesh::version_policy Versions;
-    Versions.setBaseVersion(service_name("s"),
-                            {version_name("v1"), {store_era(1), 1}});
+    Versions.setBaseVersions(
+        {{service_name("s"), {version_name("v1"), {store_era(1), 1}}}});
     Entry->onVersions(Versions);
   }
   void addPeers(int Count) {
--- a/libs/gateway/tests/rollout_task_test.cpp
+++ b/libs/gateway/tests/rollout_task_test.cpp
@@ -66,8 +66,8 @@
   }
   void setRollout(const mesh::rollout_record &Record) {
     mesh::version_policy Versions;
-    Versions.setBaseVersion(Record.Service,
-                            {version_name("v1"), {store_era(1), 3}});
+    Versions.setBaseVersions(
+        {{Record.Service, {version_name("v1"), {store_era(1), 3}}}});
     Versions.setRollouts({Record}, Environment.Clock.steadyNow());
     Task->onVersions(Versions);
   }
@@ -150,8 +150,8 @@
   CHECK(Written.Stage == mesh::rollout_stage::RolledBack);
   // A node that starts now reads both objects.
   mesh::version_policy Versions;
-  Versions.setBaseVersion(Written.Service,
-                          {Store.BaseVersion, {store_era(1), 9}});
+  Versions.setBaseVersions(
+      {{Written.Service, {Store.BaseVersion, {store_era(1), 9}}}});
   Versions.setRollouts({Written}, Environment.Clock.steadyNow());
   CHECK(Versions.mayServe(Written.Service, version_name("v1")));
   CHECK_FALSE(Versions.mayServe(Written.Service, Written.TargetVersion));
@@ -276,8 +276,8 @@
 // servers stop when the rollout is completed.
 TEST(RolloutTask, LostStageIsStoredAgainBeforeTheRolloutGoesOn) {
   mesh::version_policy Versions;
-  Versions.setBaseVersion(service_name("s"),
-                          {version_name("v1"), {store_era(1), 3}});
+  Versions.setBaseVersions(
+      {{service_name("s"), {version_name("v1"), {store_era(1), 3}}}});
   mesh::rollout_record Known = record(mesh::rollout_stage::Switching);
   Versions.setRollouts({Known}, Environment.Clock.steadyNow());
   setServer(true);
--- a/libs/mesh/include/gentianlug/mesh/version_policy.h
+++ b/libs/mesh/include/gentianlug/mesh/version_policy.h
@@ -6,6 +6,7 @@
 #include "gentianlug/core/store_revision.h"
 #include "gentianlug/mesh/model.h"
 
+#include <map>
 #include <unordered_map>
 
 namespace gentianlug::mesh {
@@ -78,8 +79,9 @@
 /// Decides which version of each service receives calls.
 class version_policy {
 public:
-  /// Sets the stored base version of \p Service.
-  void setBaseVersion(const service_name &Service, base_version Stored);
+  /// Replaces the stored base versions. One that is no longer stored holds
+  /// until a later one is decided or stored.
+  void setBaseVersions(std::map<service_name, base_version> Stored);
   /// Returns the version that receives calls while no rollout is active, or
   /// null: the one that the rollout record names, or else the later one of the
   /// stored base version and the last removed record. After a restore of the
@@ -87,8 +89,8 @@
   const version_name *baseVersion(const service_name &Service) const;
   /// Returns the stored base version, or null.
   const base_version *storedBaseVersion(const service_name &Service) const;
-  /// Returns whether the stored base version differs from the one that a
-  /// finished rollout has decided.
+  /// Returns whether the store lacks the base version that is in use, or holds
+  /// another one than a finished rollout has decided.
   bool isStoredBaseVersionOutdated(const service_name &Service) const;
   /// Replaces the rollout records. A record that a known one supersedes does
   /// not replace it.
@@ -109,7 +111,7 @@
   bool mayServe(const service_name &Service, const version_name &Version) const;
 
 private:
-  /// What a rollout record says about the base version.
+  /// A base version that holds without being stored.
   struct base_decision {
     version_name Version;
     /// The version that a finished rollout has replaced or rolled back; empty
@@ -134,8 +136,9 @@
   static bool holdsAgainst(const base_decision &Decided,
                            const base_version &Stored);
 
-  std::unordered_map<service_name, base_version> StoredBaseVersions;
-  /// Decisions of the records that have been seen.
+  std::map<service_name, base_version> StoredBaseVersions;
+  /// Decisions of the records that have been seen, and base versions that the
+  /// store has lost.
   std::unordered_map<service_name, base_decision> Decisions;
   record_table StoredRollouts;
   record_table Rollouts;
--- a/libs/mesh/src/version_policy.cpp
+++ b/libs/mesh/src/version_policy.cpp
@@ -68,9 +68,16 @@
   return Decided.RuledOut == Stored.Version;
 }
 
-void version_policy::setBaseVersion(const service_name &Service,
-                                    base_version Stored) {
-  StoredBaseVersions[Service] = std::move(Stored);
+void version_policy::setBaseVersions(
+    std::map<service_name, base_version> Stored) {
+  for (const auto &[Service, Lost] : StoredBaseVersions) {
+    if (Stored.contains(Service))
+      continue;
+    auto Decided = Decisions.find(Service);
+    if (Decided == Decisions.end() || !holdsAgainst(Decided->second, Lost))
+      Decisions[Service] = {Lost.Version, {}, Lost.Revision};
+  }
+  StoredBaseVersions = std::move(Stored);
 }
 
 const base_version *
@@ -99,7 +106,7 @@
     return false;
   const base_version *Stored = storedBaseVersion(Service);
   const version_name *Version = baseVersion(Service);
-  return Stored && Version && Stored->Version != *Version;
+  return Version && (!Stored || Stored->Version != *Version);
 }
 
 /// Returns the record of \p Service in \p Records, or null.
--- a/libs/mesh/tests/version_checks_test.cpp
+++ b/libs/mesh/tests/version_checks_test.cpp
@@ -40,7 +40,8 @@
 TEST(VersionChecks, FindsServicesWithoutAServerThatMayServe) {
   addServer("n1", "v1");
   CHECK(findUnreachableServices(Servers, Versions).empty());
-  Versions.setBaseVersion(Service, {version_name("v2"), {store_era(1), 1}});
+  Versions.setBaseVersions(
+      {{Service, {version_name("v2"), {store_era(1), 1}}}});
   CHECK(findUnreachableServices(Servers, Versions) == std::set{Service});
   addServer("n2", "v2", server_state::Draining);
   CHECK(findUnreachableServices(Servers, Versions) == std::set{Service});
--- a/libs/mesh/tests/version_policy_test.cpp
+++ b/libs/mesh/tests/version_policy_test.cpp
@@ -17,7 +17,9 @@
   const version_name New{"v2"};
   const steady_time Now{};
 
-  void setup() override { Policy.setBaseVersion(Service, {Old, revision(0)}); }
+  void setup() override {
+    Policy.setBaseVersions({{Service, {Old, revision(0)}}});
+  }
   rollout_record record(rollout_stage Stage, const store_revision &Revision)
       const {
     rollout_record Record;
@@ -91,7 +93,7 @@
   Record.TargetVersion = New;
   Record.BaseVersion = Old;
   Record.Revision = revision(5);
-  Policy.setBaseVersion(Service, {New, revision(9)});
+  Policy.setBaseVersions({{Service, {New, revision(9)}}});
   for (rollout_stage Stage :
        {rollout_stage::Pending, rollout_stage::RolledBack}) {
     Record.Stage = Stage;
@@ -114,7 +116,7 @@
   Record.TargetVersion = New;
   Record.BaseVersion = Old;
   Record.Stage = rollout_stage::Switching;
-  Policy.setBaseVersion(Service, {New, revision(9)});
+  Policy.setBaseVersions({{Service, {New, revision(9)}}});
   Policy.setRollouts({Record}, Now);
   CHECK_FALSE(Policy.isStoredBaseVersionOutdated(Service));
 }
@@ -128,12 +130,12 @@
   Record.BaseVersion = Old;
   Record.Stage = rollout_stage::RolledBack;
   Record.Revision = revision(12);
-  Policy.setBaseVersion(Service, {New, revision(9)});
+  Policy.setBaseVersions({{Service, {New, revision(9)}}});
   Policy.setRollouts({Record}, Now);
   Policy.setRollouts({}, Now);
   CHECK(Policy.mayServe(Service, Old));
   CHECK(Policy.isStoredBaseVersionOutdated(Service));
-  Policy.setBaseVersion(Service, {version_name("v3"), revision(13)});
+  Policy.setBaseVersions({{Service, {version_name("v3"), revision(13)}}});
   CHECK(Policy.mayServe(Service, version_name("v3")));
   CHECK_FALSE(Policy.isStoredBaseVersionOutdated(Service));
 }
@@ -212,7 +214,7 @@
   using namespace std::chrono_literals;
   for (auto Later : {5s, 60s}) {
     Policy = {};
-    Policy.setBaseVersion(Service, {Old, revision(1)});
+    Policy.setBaseVersions({{Service, {Old, revision(1)}}});
     setRollout(rollout_stage::RolledBack, 0, 30);
     Policy.setRollouts({}, Now);
     Policy.setRollouts({record(rollout_stage::Running, revision(12, 2))},
@@ -226,9 +228,23 @@
 TEST(VersionPolicy, RuledOutBaseVersionOfACopyIsNotUsed) {
   setRollout(rollout_stage::Completed, 1, 30);
   Policy.setRollouts({}, Now);
-  Policy.setBaseVersion(Service, {Old, revision(40, 2)});
+  Policy.setBaseVersions({{Service, {Old, revision(40, 2)}}});
   CHECK(*Policy.baseVersion(Service) == New);
   CHECK(Policy.isStoredBaseVersionOutdated(Service));
-  Policy.setBaseVersion(Service, {version_name("v3"), revision(41, 2)});
+  Policy.setBaseVersions({{Service, {version_name("v3"), revision(41, 2)}}});
   CHECK(*Policy.baseVersion(Service) == version_name("v3"));
 }
+
+// Guards against a base version that a restored store lacks: no rollout could
+// be completed, since its controller wrote on the lost revision, and the next
+// process would take the version of its own server.
+TEST(VersionPolicy, LostBaseVersionHoldsUntilItIsStoredAgain) {
+  Policy.setBaseVersions({{Service, {Old, revision(9)}}});
+  CHECK_FALSE(Policy.isStoredBaseVersionOutdated(Service));
+  Policy.setBaseVersions({});
+  CHECK(Policy.mayServe(Service, Old));
+  POINTERS_EQUAL(nullptr, Policy.storedBaseVersion(Service));
+  CHECK(Policy.isStoredBaseVersionOutdated(Service));
+  Policy.setBaseVersions({{Service, {New, revision(4, 2)}}});
+  CHECK(Policy.mayServe(Service, New));
+}
