--- a/libs/mesh/include/gentianlug/mesh/version_policy.h
+++ b/libs/mesh/include/gentianlug/mesh/version_policy.h
@@ -72,8 +72,8 @@
 /// Within one era the revisions decide. Across a restore they say nothing: of
 /// two records of the same order, which is identified by its target version and
 /// duration, the one of the later stage wins, and within a stage the one that
-/// was written later. Two final stages are no exception: the stored one wins,
-/// because the old or the new servers have been stopped for it.
+/// was written later. Of two final stages, \p Read wins: servers have been
+/// stopped for it.
 bool supersedes(const rollout_record &Known, const rollout_record &Read);
 
 /// Decides which version of each service receives calls.
