--- a/libs/gateway/tests/entry_task_test.cpp
+++ b/libs/gateway/tests/entry_task_test.cpp
@@ -190,3 +190,20 @@
   runUntil(Loop, [&] { return Status != 0; });
   LONGS_EQUAL(200, Status);
 }
+
+// Guards against a stopping node that answers a call in its second attempt with
+// a status that says it has not run, or drops the error of the first server.
+TEST(EntryTask, OpenCallsGetATrueStatusBeforeTheEnd) {
+  addPeers(2);
+  call();
+  runUntil(Loop, [&] { return heldCalls() == 1; });
+  serving_result Failed;
+  Failed.Outcome = serving_outcome::Answered;
+  Failed.Response = http1::makeStatusResponse(500);
+  fake_peer &First = holder();
+  First.respond(std::move(Failed));
+  runUntil(Loop, [&] { return heldCalls() == 1 && First.Calls.empty(); });
+  Entry->answerOpenCalls();
+  runUntil(Loop, [&] { return Status != 0; });
+  LONGS_EQUAL(500, Status);
+}
